--- a/kitecove/brain.py
+++ b/cypressledge/control.py
@@ -1,4 +1,4 @@
-"""All decisions of a workload manager. Its data, events and actions are in kitecove/contract.py.
+"""All decisions of a workload manager. Its data, events and actions are in cypressledge/contract.py.
 
 Queries wait in per-class queues; each free engine place is given by a random draw whose class odds a
 PI loop tunes to hold mean wait ratios between classes (docs/design.md names each departure).
@@ -9,7 +9,7 @@
 from heapq import heappop, heappush
 from math import ceil
 
-from kitecove.contract import (
+from cypressledge.contract import (
     NEVER_RAN, WAITS_FOR_LOAD, Action, Arrival, Cancel, ClientLeft, Effect, Ended, EngineList, Event, Fail,
     Group, ListKind, Log, Note, NoteKind, Outcome, Probed, Refuse, Send, SetTerms, Settings, State,
     Subscribe, Timer, TimerFired,
--- a/kitecove/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""kitecove: the decisions of a workload manager for query engines with limited memory."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,7 +1,7 @@
 """Helpers to drive the module alone: a small fleet, and attempts that end as the test says."""
 
-from kitecove.brain import WorkloadManager
-from kitecove.contract import (
+from cypressledge.control import WorkloadManager
+from cypressledge.contract import (
     Arrival,
     Cancel,
     ClassSettings,
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from kitecove.contract import ClassSettings, EngineList, ListKind, Note, NoteKind, Outcome, SetTerms
+from cypressledge.contract import ClassSettings, EngineList, ListKind, Note, NoteKind, Outcome, SetTerms
 from tests.fleet import LOOKUP, REPORT, Fleet, S, cancels, entry, finals, of, settings
 from tests.test_rules import silence
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from kitecove.brain import Request
-from kitecove.contract import (
+from cypressledge.control import Request
+from cypressledge.contract import (
     Arrival,
     ClassSettings,
     Ended,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kitecove.contract import (
+from cypressledge.contract import (
     Arrival,
     ClassSettings,
     ClientLeft,
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -5,17 +5,17 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-BRAIN = ROOT / "kitecove" / "brain.py"
+CONTROL = ROOT / "cypressledge" / "control.py"
 
 
 def test_module_stays_readable():
-    lines = BRAIN.read_text().splitlines()
+    lines = CONTROL.read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 650
     assert max(map(len, lines)) <= 110
 
 
 def test_first_lines_name_the_contract():
-    assert "kitecove/contract.py" in BRAIN.read_text().splitlines()[0]
+    assert "cypressledge/contract.py" in CONTROL.read_text().splitlines()[0]
 
 
 def test_ruff_is_clean():
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from kitecove import contract as c
-from kitecove.drill import Host, engine_id, read_settings
+from cypressledge import contract as c
+from cypressledge.simhost import Host, engine_id, read_settings
 
 ROOT = Path(__file__).parent.parent
 ENGINE = bytes([10, 18, 74, 7, 0x5B, 0x1B])
@@ -88,12 +88,12 @@
         c.Settings(**(plain | change))
 
 
-def drill(raw):
-    return subprocess.run([sys.executable, "-m", "kitecove.drill"], input=raw, cwd=ROOT, capture_output=True)
+def simhost(raw):
+    return subprocess.run([sys.executable, "-m", "cypressledge.simhost"], input=raw, cwd=ROOT, capture_output=True)
 
 
 def test_input_that_ends_between_frames():
-    run = drill(start())
+    run = simhost(start())
     assert run.returncode == 0 and run.stderr == b"" and len(run.stdout) >= 12
 
 
@@ -108,7 +108,7 @@
     (struct.pack("<I", 3), "under a header"),
 ])
 def test_bad_input_gets_one_plain_line(raw, word):
-    run = drill(raw)
+    run = simhost(raw)
     lines = run.stderr.decode().splitlines()
     assert run.returncode == 2 and run.stdout == b"" and len(lines) == 1
     assert word in lines[0] and "batch" in lines[0]
