--- /dev/null
+++ b/cypressledge/core.py
@@ -0,0 +1,406 @@
+"""The broker's core. It knows no wire: fronts bring queries and are told answers, links carry attempts.
+
+One greenlet (`Core.run`) owns the decision module. Socket code reaches it only through `inbox`: take,
+left, ended, noted, rows and listed put a message there and return at once. The ledger here sees to it that
+each request gets exactly one final answer and no more attempts than the site allows.
+"""
+
+import hashlib
+import itertools
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from typing import Protocol
+
+from gevent import sleep
+from gevent.event import Event
+
+from cypressledge import contract as c
+from cypressledge.control import WorkloadManager
+from cypressledge.counters import Counters, log
+
+OVERDUE = 10_000  # µs after the client's time at which the ledger answers what the module did not
+OPEN_MOST = 4_000  # requests open at once; beyond, the memory limit is in danger: refused unseen
+HELD_MOST = 48 << 20  # bytes of statements held for them
+
+
+def clock() -> int:
+    """The Unix clock in µs: the module's time."""
+    return time.time_ns() // 1000
+
+
+def stable(text: str, size: int = 6) -> int:
+    """A number for a name that is the same at every broker and every start (never `hash()`)."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=size).digest(), "big")
+
+
+@dataclass(slots=True)
+class Query:
+    """What a client asks, whatever wire it came by. `due`: µs of the Unix clock when it stops waiting."""
+
+    id: str
+    cls: int
+    class_name: str
+    tenant: str
+    statement: bytes
+    due: int
+    key: str = ""
+    cost: int = 0
+    memory_mb: float = 0.0
+    group: int = 0
+    repeat: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Why an engine's answer is no result. `final`: the statement itself is at fault, no engine helps."""
+
+    text: str
+    code: int = 0
+    status: int = 500
+    final: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where an engine listens and which link speaks to it."""
+
+    id: int
+    name: str
+    address: tuple[str, int]
+    wire: str
+
+
+class Reply(Protocol):
+    """What a front offers for one taken request; none of these may block."""
+
+    streams: bool
+
+    def served(self, rows: bytes) -> None:
+        """All rows (behind those of `part`, if any)."""
+
+    def part(self, rows: bytes) -> None:
+        """The next rows of an answer that has begun."""
+
+    def refused(self, after: int) -> None:
+        """Trying again is harmless, best after so many µs."""
+
+    def failed(self, fault: Fault) -> None:
+        """It may have run; an answer that has begun is left visibly broken."""
+
+
+class Link(Protocol):
+    """What a wire to the engines offers; none of these may block."""
+
+    def send(self, attempt: "Attempt") -> None:
+        """Carry the attempt to its engine."""
+
+    def cancel(self, attempt: "Attempt") -> None:
+        """Give it up; nothing is reported of it any more."""
+
+    def terms(self, attempt: "Attempt") -> None:
+        """Its priority has changed."""
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One line of the ledger."""
+
+    number: int
+    query: Query
+    reply: Reply
+    attempts: list["Attempt"] = field(default_factory=list)
+    grant_mb: float = 0.0
+    priority: int = 1
+    open: int = 0
+    over: bool = False
+    begun: "Attempt | None" = None
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send of a request to one engine. `carrier` belongs to the link."""
+
+    request: Request
+    hop: int
+    place: Place
+    sent_at: int
+    until: int
+    open: bool = True
+    carrier: object = None
+
+    @property
+    def query(self) -> Query:
+        """The query it carries."""
+        return self.request.query
+
+
+class Core:
+    """The ledger, and the one greenlet that runs the module."""
+
+    def __init__(self, settings: c.Settings, seed: int, counters: Counters, after: int = 0) -> None:
+        self.settings, self.counters = settings, counters
+        self.manager = WorkloadManager(settings, seed)
+        self.after_most = after
+        self.links: dict[str, Link] = {}
+        self.places: dict[int, Place] = {}
+        self.ready: set[int] = set()
+        self.requests: dict[int, Request] = {}
+        self.inbox: deque[tuple] = deque()
+        self.woken = Event()
+        self.numbers = itertools.count(1)
+        self.held = self.last = 0
+        self.taking = True
+        self.alarms: list[tuple[int, int, Callable, object]] = []
+        self.alarm_numbers = itertools.count()
+        self.events: list[c.Event] = []
+        self.do = {
+            c.Send: self._send, c.SetTerms: self._terms, c.Cancel: self._cancel, c.Refuse: self._refuse,
+            c.Fail: self._fail, c.Timer: self._timer, c.Subscribe: lambda a: None,
+            c.Log: lambda a: log(f"module: {a.text}"),
+        }
+        counters.gauge("open_requests", lambda: len(self.requests))
+        counters.gauge("ready_engines", lambda: len(self.ready))
+
+    # Called by socket code
+
+    def take(self, query: Query, reply: Reply) -> Request | None:
+        """Take a query; None, and a refusal at once, if there is no room or the broker is stopping."""
+        if not self.taking or len(self.requests) >= OPEN_MOST or self.held > HELD_MOST:
+            self.counters.add("refused.no_room")
+            reply.refused(self.after_most)
+            return None
+        request = Request(next(self.numbers), query, reply)
+        self.requests[request.number] = request
+        self.held += len(query.statement)
+        self.counters.add(f"taken.{query.class_name}")
+        self._post(self._taken, request)
+        return request
+
+    def left(self, request: Request) -> None:
+        """The client stopped waiting: nothing is owed any more."""
+        self._post(self._left, request)
+
+    def ended(
+        self, attempt: Attempt, outcome: c.Outcome, rows: bytes = b"", fault: Fault | None = None,
+    ) -> None:
+        """A link's word on how an attempt ended."""
+        self._post(self._ended, attempt, outcome, rows, fault)
+
+    def noted(self, attempt: Attempt, kind: c.NoteKind, value: float) -> None:
+        """A note on an attempt that is out."""
+        self._post(self._noted, attempt, kind, value)
+
+    def rows(self, attempt: Attempt, rows: bytes) -> None:
+        """The next rows of a streamed answer."""
+        self._post(self._rows, attempt, rows)
+
+    def listed(self, kind: c.ListKind, entries: tuple[c.Entry, ...], places: list[Place]) -> None:
+        """The whole list of engines. Drain and loss count at once, also for sends still on their way."""
+        self.ready = {e.engine for e in entries if e.state is c.State.READY}
+        self._post(self._listed, kind, entries, places)
+
+    def serving(self) -> bool:
+        """The broker can serve: it takes queries and knows of a ready engine."""
+        return self.taking and bool(self.ready)
+
+    def _post(self, what: Callable, *args) -> None:
+        self.inbox.append((what, args))
+        self.woken.set()
+
+    # The owner of the module
+
+    def run(self) -> None:
+        """Hand the module what came in, a tick at a time, and carry out what it answers."""
+        while True:
+            self._wait()
+            now = self.now()
+            while self.inbox:
+                what, args = self.inbox.popleft()
+                what(*args)
+            while self.alarms and self.alarms[0][0] <= now:
+                _, _, what, arg = heappop(self.alarms)
+                what(arg)
+            self.last = now
+            if self.events:
+                self._decide(now)
+
+    def _decide(self, now: int) -> None:
+        events, self.events = self.events, []
+        try:
+            for action in self.manager.handle(now, events):
+                self.do[type(action)](action)
+        except Exception:
+            # Guards against one odd event stopping all service: the ledger answers what the module lost.
+            log("module failed:\n" + traceback.format_exc())
+            self.counters.invariant(False, "module")
+
+    def now(self) -> int:
+        """The module's clock never steps back, even where the system's does."""
+        return max(clock(), self.last)
+
+    def _wait(self) -> None:
+        self.woken.clear()
+        if not self.inbox:
+            until = self.alarms[0][0] - clock() if self.alarms else 1_000_000
+            if until > 0:
+                self.woken.wait(until / 1e6)
+        pause = self.last + self.settings.tick - clock()
+        sleep(min(max(pause, 0), self.settings.tick) / 1e6)
+
+    def _at(self, when: int, what: Callable, arg: object) -> None:
+        heappush(self.alarms, (when, next(self.alarm_numbers), what, arg))
+
+    # What came in
+
+    def _taken(self, request: Request) -> None:
+        if request.over:
+            return
+        q = request.query
+        self._at(q.due + OVERDUE, self._overdue, request)
+        key = stable(q.key, 8) if q.key else 0
+        self.events.append(c.Arrival(
+            request.number, q.cls, q.due, key, q.cost, q.memory_mb, q.group, q.repeat))
+
+    def _left(self, request: Request) -> None:
+        if request.over:
+            return
+        self.counters.add("withdrawn")
+        if request.begun is not None:
+            self._stop(request.begun, c.Outcome.CANCELLED)
+        self._conclude(request)
+        self.events.append(c.ClientLeft(request.number))
+
+    def _overdue(self, request: Request) -> None:
+        # Guards against a request that the module forgot: it is owed an answer all the same.
+        if request.over:
+            return
+        self.counters.invariant(request.begun is not None, "overdue")
+        self._answer(request, "failed", Fault("deadline passed", 159, 408))
+        self.events.append(c.ClientLeft(request.number))
+
+    def _listed(self, kind, entries, places) -> None:
+        self.places.update((p.id, p) for p in places)
+        self.counters.add("lists")
+        self.events.append(c.EngineList(kind, entries))
+
+    def _noted(self, attempt: Attempt, kind, value) -> None:
+        if attempt.open:
+            self.events.append(c.Note(attempt.request.number, attempt.hop, attempt.place.id, kind, value))
+
+    def _rows(self, attempt: Attempt, rows: bytes) -> None:
+        request = attempt.request
+        if not attempt.open or request.over:
+            return
+        if request.begun is None:  # from here on the answer belongs to this attempt alone
+            request.begun = attempt
+            for other in request.attempts:
+                if other is not attempt:
+                    self._stop(other, c.Outcome.CANCELLED)
+        if request.begun is attempt:
+            request.reply.part(rows)
+
+    def _ended(self, attempt: Attempt, outcome: c.Outcome, rows: bytes, fault: Fault | None) -> None:
+        if not attempt.open:
+            return
+        request = attempt.request
+        self._close(attempt)
+        self.counters.add(f"attempt.{outcome.name.lower()}")
+        if not request.over:
+            if outcome is c.Outcome.OK:
+                self._answer(request, "served", rows)
+            elif request.begun is attempt or fault and fault.final:
+                self._answer(request, "failed", fault or Fault(f"engine: {outcome.name.lower()}"))
+        latency = self.now() - attempt.sent_at
+        self.events.append(c.Ended(
+            request.number, attempt.hop, attempt.place.id, outcome, request.over, latency))
+        self._forget(request)
+
+    def _expired(self, attempt: Attempt) -> None:
+        if attempt.open and attempt.request.begun is not attempt:
+            self._stop(attempt, c.Outcome.TIMEOUT)
+
+    # What the module answers
+
+    def _send(self, a: c.Send) -> None:
+        request = self.requests.get(a.request)
+        now = self.now()
+        place = self.places.get(a.engine)
+        if not self.counters.invariant(request is not None and place is not None, "send_of_nothing"):
+            self.events.append(c.Ended(a.request, 0, a.engine, c.Outcome.MOOT, True, 0))
+            return
+        until = min(request.query.due, now + a.timeout) if a.timeout else request.query.due
+        attempt = Attempt(request, len(request.attempts), place, now, until)
+        request.attempts.append(attempt)
+        request.open += 1
+        many = attempt.hop >= self.settings.max_attempts
+        if request.over or request.begun or many or until <= now or a.engine not in self.ready:
+            self.counters.add("moot_sends")
+            self.ended(attempt, c.Outcome.MOOT)
+            return
+        self.counters.add("attempts.first" if attempt.hop == 0 else "attempts.further")
+        self._at(until, self._expired, attempt)
+        self.links[place.wire].send(attempt)
+
+    def _terms(self, a: c.SetTerms) -> None:
+        if (request := self.requests.get(a.request)) is None:
+            return
+        request.grant_mb, request.priority = a.grant_mb, a.priority
+        for attempt in request.attempts:
+            if attempt.open:
+                self.links[attempt.place.wire].terms(attempt)
+
+    def _cancel(self, a: c.Cancel) -> None:
+        request = self.requests.get(a.request)
+        if request is not None and a.attempt < len(request.attempts):
+            attempt = request.attempts[a.attempt]
+            if request.begun is not attempt or request.over:
+                self._stop(attempt, c.Outcome.CANCELLED)
+
+    def _refuse(self, a: c.Refuse) -> None:
+        if (request := self.requests.get(a.request)) is not None and not request.over:
+            if request.begun is None:
+                self._answer(request, "refused", self.after_most)
+            else:  # rows went out: refusing would be a lie
+                self._answer(request, "failed", Fault("deadline passed", 159, 408))
+
+    def _fail(self, a: c.Fail) -> None:
+        if (request := self.requests.get(a.request)) is not None and not request.over:
+            self._answer(request, "failed", Fault("not answered in time", 159, 408))
+
+    def _timer(self, a: c.Timer) -> None:
+        self._at(self.last + a.after, self._fire, a.token)
+
+    def _fire(self, token: int) -> None:
+        self.events.append(c.TimerFired(token))
+
+    # The ledger
+
+    def _answer(self, request: Request, how: str, *args) -> None:
+        """The one final answer of a request."""
+        if self.counters.invariant(not request.over, "second_answer"):
+            self.counters.add(f"{how}.{request.query.class_name}")
+            getattr(request.reply, how)(*args)
+            self._conclude(request)
+
+    def _conclude(self, request: Request) -> None:
+        request.over = True
+        self.held -= len(request.query.statement)
+        self._forget(request)
+
+    def _stop(self, attempt: Attempt, outcome: c.Outcome) -> None:
+        """Call an attempt off at its engine; its outcome reaches the module with the next batch."""
+        if attempt.open:
+            self.links[attempt.place.wire].cancel(attempt)
+            self.ended(attempt, outcome)
+
+    def _close(self, attempt: Attempt) -> None:
+        attempt.open = False
+        attempt.request.open -= 1
+
+    def _forget(self, request: Request) -> None:
+        if request.over and not request.open:
+            self.requests.pop(request.number, None)
--- /dev/null
+++ b/cypressledge/net/lines.py
@@ -0,0 +1,289 @@
+"""The link to engines that speak lines: many attempts share one connection, results come in pages."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from gevent import Timeout, socket, spawn
+
+from cypressledge.contract import NoteKind, Outcome
+from cypressledge.core import Attempt, Core, Place, clock
+from cypressledge.net.buffer import Buffer, TooLong
+from cypressledge.net.stream import Writer, end, tune
+
+LINE_MOST = 4096
+BODY_MOST = 65536
+PAGES_MOST = 1024
+RESULT_MOST = 1 << 20
+UNSENT_MOST = 500_000  # µs a send may wait for its connection; then it is not sent at all
+STALE = 60_000_000  # µs that the id of a cancelled attempt bars its connection to a repeat
+IDLE_PART = 0.8  # of the site's idle time: we close first, so that no send crosses the engine's close
+NOTES = {b"done": NoteKind.PROGRESS, b"spills": NoteKind.SPILLS, b"waits": NoteKind.WAITS}
+
+
+class BadLine(Exception):
+    """An engine's line that can't be read."""
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One attempt on its connection."""
+
+    attempt: Attempt
+    connection: "Connection"
+    word: bytes
+    sent: bool = False
+    dropped: bool = False
+    pages: list[bytes | None] = field(default_factory=list)
+    missing: int = 0
+    size: int = 0
+
+
+class LinesLink:
+    """Connections to every engine, and which attempt rides on which."""
+
+    def __init__(self, core: Core, streams: int, connect_s: float, idle_s: float, most: int) -> None:
+        self.core, self.streams, self.connect_s = core, streams, connect_s
+        self.idle, self.most = int(idle_s * IDLE_PART * 1e6), most
+        self.connections: dict[int, list[Connection]] = {}
+        core.counters.gauge("engine_connections", self.count)
+
+    def count(self) -> int:
+        """Connections held to all engines."""
+        return sum(map(len, self.connections.values()))
+
+    def send(self, attempt: Attempt) -> None:
+        """Carry the attempt on a connection with room that never carried its id, else on a new one."""
+        word = attempt.query.id.encode()
+        for connection in self.connections.get(attempt.place.id, ()):
+            if connection.admits(word, attempt.place):
+                break
+        else:
+            if self.count() >= self.most:
+                self.core.counters.add("moot_sends")
+                self.core.ended(attempt, Outcome.MOOT)
+                return
+            connection = Connection(self, attempt.place)
+            self.connections.setdefault(attempt.place.id, []).append(connection)
+        connection.carry(attempt, word)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give the attempt up."""
+        if attempt.carrier is not None:
+            attempt.carrier.connection.give_up(attempt.carrier)
+
+    def terms(self, attempt: Attempt) -> None:
+        """Tell the engine the new priority."""
+        if attempt.carrier is not None and attempt.carrier.sent and not attempt.carrier.pages:
+            attempt.carrier.connection.say(b"hurry %s %d" % (
+                attempt.carrier.word, attempt.request.priority))
+
+    def drop(self, connection: "Connection") -> None:
+        """A connection is no more."""
+        held = self.connections.get(connection.place.id, [])
+        if connection in held:
+            held.remove(connection)
+        if not held:
+            self.connections.pop(connection.place.id, None)
+
+    def tend(self) -> None:
+        """Close what has been idle for long, and what leads to engines that take nothing new."""
+        now = clock()
+        for held in list(self.connections.values()):
+            for connection in list(held):
+                unused = connection.place.id not in self.core.ready
+                if not connection.exchanges and (unused or now - connection.used > self.idle):
+                    connection.close("idle")
+
+
+class Connection:
+    """One connection to one engine."""
+
+    def __init__(self, link: LinesLink, place: Place) -> None:
+        self.link, self.place, self.core = link, place, link.core
+        self.exchanges: dict[bytes, Exchange] = {}
+        self.unsent: list[Exchange] = []
+        self.stale: dict[bytes, int] = {}
+        self.order: deque[bytes] = deque()
+        self.used = clock()
+        self.sock = self.writer = None
+        self.closed = False
+        self.greenlet = spawn(self._run)
+
+    def admits(self, word: bytes, place: Place) -> bool:
+        """Room for one more, and no trace of the id.
+
+        Guards against a late answer of a cancelled attempt being taken for its repeat's: an id given up
+        here may still be answered, so its repeat takes another connection."""
+        while self.order and self.stale[self.order[0]] < clock() - STALE:
+            del self.stale[self.order.popleft()]
+        return (not self.closed and len(self.exchanges) < self.link.streams and place == self.place
+                and word not in self.exchanges and word not in self.stale)
+
+    def carry(self, attempt: Attempt, word: bytes) -> None:
+        """Take the attempt; it goes out once the connection is up."""
+        exchange = attempt.carrier = Exchange(attempt, self, word)
+        self.exchanges[word] = exchange
+        self.used = clock()
+        if self.writer is None:
+            self.unsent.append(exchange)
+        else:
+            self._want(exchange)
+
+    def say(self, line: bytes) -> None:
+        """A command that has no answer."""
+        if self.writer is not None:
+            self.writer.put(line, b"\r\n")
+
+    def give_up(self, exchange: Exchange) -> None:
+        """Nothing is wanted of the exchange any more."""
+        if exchange.dropped:
+            return
+        exchange.dropped = True
+        self._settle(exchange)
+        if exchange.sent:
+            if exchange.word not in self.stale:
+                self.order.append(exchange.word)
+            self.stale[exchange.word] = clock()
+            self.say((b"shut " if exchange.pages else b"never_mind ") + exchange.word)
+
+    def _want(self, exchange: Exchange) -> None:
+        a, q = exchange.attempt, exchange.attempt.query
+        left = max((a.until - clock()) // 1000, 1)
+        fields = [f"c={q.class_name}", f"w={left}", f"order={a.request.priority}"]
+        if q.key:
+            fields.append(f"i={q.key}")
+        if a.request.grant_mb >= 1:
+            fields.append(f"heap={round(a.request.grant_mb)}")
+        head = b"want %s %s %d\r\n" % (exchange.word, ",".join(fields).encode(), len(q.statement))
+        self.writer.put(head, q.statement, b"\r\n", live=lambda: self._leaves(exchange))
+
+    def _leaves(self, exchange: Exchange) -> bool:
+        # Guards against sends that a drain, a cancel or a full socket overtook: what has not left yet
+        # and should not any more never does, and the module is told that it never ran.
+        if exchange.dropped:
+            return False
+        late = clock() - exchange.attempt.sent_at > UNSENT_MOST
+        if late or self.place.id not in self.core.ready:
+            exchange.dropped = True
+            self._settle(exchange)
+            self.core.counters.add("moot_sends")
+            self.core.ended(exchange.attempt, Outcome.MOOT)
+            return False
+        exchange.sent = True
+        return True
+
+    def _settle(self, exchange: Exchange) -> None:
+        if self.exchanges.get(exchange.word) is exchange:
+            del self.exchanges[exchange.word]
+        self.used = clock()
+
+    def _end(self, exchange: Exchange, outcome: Outcome, rows: bytes = b"") -> None:
+        self._settle(exchange)
+        exchange.dropped = True
+        self.core.ended(exchange.attempt, outcome, rows)
+
+    def close(self, why: str, outcome: Outcome = Outcome.RESET) -> None:
+        """The connection is over; so is all that is open on it."""
+        if self.closed:
+            return
+        self.closed = True
+        self.core.counters.add(f"engine_close.{why.split(':')[0].replace(' ', '_')}")
+        self.link.drop(self)
+        for exchange in list(self.exchanges.values()):
+            self._end(exchange, outcome if exchange.sent or outcome is not Outcome.RESET else Outcome.MOOT)
+        if self.writer is not None:
+            self.writer.close()
+        if self.sock is not None:
+            end(self.sock)
+
+    def _run(self) -> None:
+        try:
+            with Timeout(self.link.connect_s):
+                self.sock = socket.create_connection(self.place.address)
+        except (OSError, Timeout):
+            self.close("connect failed", Outcome.CONNECT_FAILED)
+            return
+        if self.closed:
+            end(self.sock)
+            return
+        tune(self.sock)
+        self.core.counters.add("engine_connects")
+        self.writer = Writer(self.sock, 4 << 20, 10.0, self.close)
+        for exchange in self.unsent:
+            self._want(exchange)
+        self.unsent.clear()
+        self._read()
+
+    def _read(self) -> None:
+        buffer = Buffer(LINE_MOST + BODY_MOST)
+        why = "closed by engine"
+        try:
+            while buffer.fill(self.sock):
+                while self._message(buffer):
+                    pass
+        except OSError as err:
+            why = f"reset by engine: {err}"
+        except (BadLine, TooLong, ValueError) as err:
+            why = f"bad line: {err}"
+        self.close(why)
+
+    def _message(self, buffer: Buffer) -> bool:
+        """Take one whole message; False while none is there."""
+        line = buffer.peek(b"\r\n", LINE_MOST)
+        if line is None:
+            return False
+        words = line.split(b" ")
+        if len(words) != 4 or not words[3].isdigit() or int(words[3]) > BODY_MOST:
+            raise BadLine(line[:80])
+        size = int(words[3])
+        message = buffer.take(len(line) + 2 + size + 2)
+        if message is None:
+            return False
+        body = message[len(line) + 2:]
+        if body[size:] != b"\r\n":
+            raise BadLine(line[:80])
+        self._told(words[0], words[1], words[2], body[:size])
+        return True
+
+    def _told(self, word: bytes, what: bytes, fields: bytes, body: bytes) -> None:
+        exchange = self.exchanges.get(word)
+        if exchange is None or not exchange.sent:
+            self.core.counters.add("late_answers")
+            return
+        told = dict(f.split(b"=", 1) for f in fields.split(b",")) if fields != b"-" else {}
+        if what == b"status":
+            if told.get(b"note") in NOTES:
+                self.core.noted(exchange.attempt, NOTES[told[b"note"]], float(told[b"reading"]))
+        elif what == b"200" and not exchange.pages:
+            self._first(exchange, int(told.get(b"count", b"1")), body)
+        elif what == b"chunk" and exchange.pages:
+            self._page(exchange, int(told[b"pos"]), body)
+        elif what == b"503" and not exchange.pages:
+            self._end(exchange, Outcome.FULL)
+        elif what == b"504" and not exchange.pages:
+            self._end(exchange, Outcome.MOOT)
+        else:  # 500, and whatever an answer that has begun can't be followed by: it may have run
+            self._end(exchange, Outcome.ERROR)
+
+    def _first(self, exchange: Exchange, count: int, body: bytes) -> None:
+        if not 1 <= count <= PAGES_MOST:
+            raise BadLine(b"count")
+        exchange.pages, exchange.missing = [None] * count, count
+        self._page(exchange, 0, body)
+        if count > 1:  # all pages are asked for together
+            self.writer.put(*(b"turn %s %d\r\n" % (exchange.word, n) for n in range(1, count)))
+
+    def _page(self, exchange: Exchange, n: int, body: bytes) -> None:
+        if not 0 <= n < len(exchange.pages):
+            raise BadLine(b"pos")
+        if exchange.pages[n] is not None:
+            return
+        exchange.pages[n] = body
+        exchange.missing -= 1
+        exchange.size += len(body)
+        if exchange.size > RESULT_MOST:
+            raise BadLine(b"result too long")
+        if not exchange.missing:
+            if len(exchange.pages) > 1:
+                self.say(b"shut " + exchange.word)
+            self._end(exchange, Outcome.OK, b"".join(exchange.pages))
--- a/cypressledge/settings.py
+++ b/cypressledge/settings.py
@@ -1,4 +1,4 @@
-"""The JSON settings of an instance in the contract's names; the simulator's adapter and the broker share it."""
+"""An instance's JSON settings in the contract's names, for the simulator's adapter and the broker."""
 
 import json
 
--- /dev/null
+++ b/cypressledge/sql.py
@@ -0,0 +1,45 @@
+"""Finds the group of tables of a statement: the number in the name of the schema it reads or writes."""
+
+import re
+
+_NAME = r'(?:[A-Za-z_][A-Za-z0-9_$]*|"(?:[^"]|"")*"|`[^`]*`)'
+_STRING = {False: r"'(?:[^']|'')*'", True: r"'(?:[^'\\]|\\.|'')*'"}
+_TOKENS = {
+    escapes: re.compile(
+        rf"--[^\n]*|/\*.*?(?:\*/|\Z)|{string}|{_NAME}(?:\s*\.\s*{_NAME})*|[^\s]", re.S)
+    for escapes, string in _STRING.items()
+}
+_SKIPPED = ("--", "/*", "'")
+_BEFORE_TABLE = frozenset(("from", "join", "into", "update", "table", "using", "truncate"))
+_END_OF_TABLES = frozenset((
+    "where", "on", "group", "order", "having", "limit", "set", "select", "values", "union", "window"))
+_NUMBERED = re.compile(r".*?_(\d+)\Z", re.S)
+_MOST = 2**24  # groups go to the module as small numbers
+
+
+def table_group(statement: str, escapes: bool = False) -> int:
+    """The group of the first counted schema that stands where a table does, else of any; 0 if none.
+
+    Guards against aliases (`o_2.amount`) and names inside strings and comments being read as schemas.
+    `escapes`: backslashes escape inside strings, as in ClickHouse's dialect.
+    """
+    other, in_tables = 0, False
+    for token in _TOKENS[escapes].findall(statement):
+        if token.startswith(_SKIPPED):
+            continue
+        word = token.lower()
+        if word in _BEFORE_TABLE:
+            in_tables = True
+        elif word in _END_OF_TABLES or word == "(":
+            in_tables = False
+        elif "." in token and (group := _group(token)):
+            if in_tables:
+                return group
+            other = other or group
+    return other
+
+
+def _group(name: str) -> int:
+    parts = [p.strip().strip('"`') for p in name.split(".")]
+    numbered = _NUMBERED.match(parts[-2]) if len(parts) > 1 else None
+    return int(numbered[1]) % _MOST if numbered else 0
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -89,7 +89,8 @@
 
 
 def simhost(raw):
-    return subprocess.run([sys.executable, "-m", "cypressledge.simhost"], input=raw, cwd=ROOT, capture_output=True)
+    command = [sys.executable, "-m", "cypressledge.simhost"]
+    return subprocess.run(command, input=raw, cwd=ROOT, capture_output=True)
 
 
 def test_input_that_ends_between_frames():
