--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -1,8 +1,10 @@
 """One real broker: reads its configuration, puts the parts together, and heeds signals.
 
-Run with `python -m cypressledge`; ROUTER_CONFIG names the configuration.
+Run with `python -m cypressledge`; ROUTER_CONFIG names the configuration. `--service FILE` adds the
+hosted service's front.
 """
 
+import argparse
 import gc
 import json
 import os
@@ -19,7 +21,9 @@
 from cypressledge.net.directory import Catalogue, Directory, known
 from cypressledge.net.jsonrpc import Front
 from cypressledge.net.lines import LinesLink
+from cypressledge.service import Service, ServiceConfig, ServiceError, address, read_service
 from cypressledge.settings import SettingsError, read_settings
+from cypressledge.tenants import Tenants
 
 LINGER = 0.8  # seconds that a stopping broker goes on taking requests
 LAST_WORDS = 1.0  # seconds for the last answers to leave
@@ -35,21 +39,13 @@
 
     name: str
     listen: tuple[str, int]
-    dns: tuple[str, int]
+    dns: tuple[str, int] | None
     seed: int
     sockets: int
     known: dict
     settings: dict
 
 
-def address(text: str) -> tuple[str, int]:
-    """HOST:PORT as a pair."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not port.isdigit() or int(port) > 65535:
-        raise ConfigError(f"no HOST:PORT: {text!r}")
-    return host.strip("[]"), int(port)
-
-
 def read_config(env) -> Config:
     """The configuration named by the environment."""
     path = env.get("ROUTER_CONFIG")
@@ -62,7 +58,8 @@
         return Config(
             name=env.get("ROUTER_NAME") or raw["name"],
             listen=address(env.get("ROUTER_LISTEN") or raw["listen"]),
-            dns=address(raw["dns"]), seed=int(seed, 16) if isinstance(seed, str) else int(seed),
+            dns=address(raw["dns"]) if raw.get("dns") else None,
+            seed=int(seed, 16) if isinstance(seed, str) else int(seed),
             sockets=int(raw["limits"]["sockets"]), known=raw["known"], settings=raw["settings"])
     except OSError as err:
         raise ConfigError(f"{path}: {err.strerror}") from None
@@ -75,48 +72,59 @@
 class Broker:
     """All parts of one broker."""
 
-    def __init__(self, config: Config) -> None:
-        s = config.settings
+    def __init__(self, config: Config, service: ServiceConfig | None) -> None:
+        s, limits = config.settings, config.settings["Limits"]
         settings = read_settings(json.dumps(s).encode())
-        limits = s["Limits"]
         self.counters = Counters()
         self.core = Core(settings, config.seed, self.counters, int(limits.get("MaxRetryAfter", 0)))
-        self.link = LinesLink(
+        lines = LinesLink(
             self.core, limits["StreamsPerConn"], limits["ConnectTimeout"] / 1e6, limits["ConnIdle"] / 1e6,
-            most=config.sockets // 3)
-        self.core.links["lines"] = self.link
-        catalogue = Catalogue(s["Skus"], s["Dcs"], "lines")
+            most=config.sockets // 4)
+        self.core.links["lines"] = lines
+        tenants = Tenants([t["Name"] for t in s.get("Customers", ())])
+        self.front = Front(self.core, config.listen, [k["Name"] for k in s["Classes"]], tenants,
+                           self.counters, most=config.sockets * 2 // 5)
+        self.fronts, self.links = [self.front], [lines]
+        self.parts = [self.core.run, self.front.listener.run, self._tend]
+        self._list(config, Catalogue(s["Skus"], s["Dcs"], "lines"))
+        if service is not None:
+            hosted = Service(service, self.core, s, tenants, config.sockets)
+            self.fronts.append(hosted)
+            self.links.append(hosted.link)
+            self.parts += hosted.parts
+        self.stopping = Event()
+
+    def _list(self, config: Config, catalogue: Catalogue) -> None:
         serial, engines = known(config.known)
-        self.directory = Directory(self.core, config.dns, catalogue, serial)
         catalogue.tell(self.core, ListKind.CACHED, engines)
-        self.front = Front(
-            self.core, config.listen, [k["Name"] for k in s["Classes"]],
-            [t["Name"] for t in s.get("Customers", ())], self.counters, most=config.sockets // 2)
-        self.stopping = Event()
+        if config.dns is not None:
+            self.parts.append(Directory(self.core, config.dns, catalogue, serial).run)
 
     def run(self) -> None:
         """Serve until told to stop; then answer all that was taken."""
-        owner = gevent.spawn(self.core.run)
-        parts = [owner, *map(gevent.spawn, (self.directory.run, self.front.run, self._tend))]
-        for part in parts:
+        for part in map(gevent.spawn, self.parts):
             part.link_exception(self._broken)
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
         gevent.signal_handler(signal.SIGINT, self.stopping.set)
         gevent.signal_handler(signal.SIGUSR1, self.counters.print, "asked")
         self.stopping.wait()
         log("stopping: no longer healthy, still serving")
+        self.core.stopping = True
         gevent.sleep(LINGER)
-        self.front.stop()
+        for front in self.fronts:
+            front.stop()
         self.core.taking = False
         while any(not r.over for r in self.core.requests.values()):
             gevent.sleep(0.02)
-        self.front.flush(LAST_WORDS)
+        for front in self.fronts:
+            front.flush(LAST_WORDS)
         self.counters.print("exit")
 
     def _tend(self) -> None:
         while True:
             gevent.sleep(1.0)
-            self.link.tend()
+            for link in self.links:
+                link.tend()
 
     def _broken(self, part) -> None:
         # A part that ended by an exception can't be done without: end, so that the platform starts anew.
@@ -124,21 +132,27 @@
         os._exit(3)
 
 
-def main() -> int:
-    """Run one broker; a bad configuration is one plain line."""
+def assemble(args: list[str], env) -> Broker:
+    """The broker that arguments and environment describe."""
+    parser = argparse.ArgumentParser(prog="cypressledge", description="a query broker")
+    parser.add_argument("--service", metavar="FILE", help="settings of the hosted service's front")
+    file = parser.parse_args(args).service
     try:
-        broker = Broker(read_config(os.environ))
-    except (ConfigError, SettingsError) as err:
-        log(f"cypressledge: {err}")
-        return 2
+        return Broker(read_config(env), read_service(file, env) if file else None)
     except KeyError as err:
-        log(f"cypressledge: configuration lacks {err}")
-        return 2
+        raise ConfigError(f"configuration lacks {err}") from None
     except (TypeError, ValueError, AttributeError) as err:
-        log(f"cypressledge: configuration of the wrong form: {err}")
-        return 2
+        raise ConfigError(f"configuration of the wrong form: {err}") from None
     except OSError as err:
-        log(f"cypressledge: cannot listen: {err}")
+        raise ConfigError(f"cannot listen: {err}") from None
+
+
+def main() -> int:
+    """Run one broker; a bad configuration is one plain line."""
+    try:
+        broker = assemble(sys.argv[1:], os.environ)
+    except (ConfigError, ServiceError, SettingsError) as err:
+        log(f"cypressledge: {err}")
         return 2
     gc.collect()
     gc.freeze()
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -64,6 +64,9 @@
     final: bool = False
 
 
+LATE = Fault("not answered in time", 159, 408)
+
+
 @dataclass(frozen=True, slots=True)
 class Place:
     """Where an engine listens and which link speaks to it."""
@@ -83,7 +86,10 @@
         """All rows (behind those of `part`, if any)."""
 
     def part(self, rows: bytes) -> None:
-        """The next rows of an answer that has begun."""
+        """The next rows of an answer that has begun; only where it `streams`."""
+
+    def pace(self) -> bool:
+        """Called by a link's greenlet: wait, a second at most, for the client to read; whether it did."""
 
     def refused(self, after: int) -> None:
         """Trying again is harmless, best after so many µs."""
@@ -118,6 +124,7 @@
     open: int = 0
     over: bool = False
     begun: "Attempt | None" = None
+    fault: Fault | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -131,6 +138,7 @@
     until: int
     open: bool = True
     carrier: object = None
+    unread: int = 0  # bytes of rows on their way to the core
 
     @property
     def query(self) -> Query:
@@ -147,13 +155,14 @@
         self.after_most = after
         self.links: dict[str, Link] = {}
         self.places: dict[int, Place] = {}
+        self.lists: dict[str, list[tuple[c.Entry, Place]]] = {}
         self.ready: set[int] = set()
         self.requests: dict[int, Request] = {}
         self.inbox: deque[tuple] = deque()
         self.woken = Event()
         self.numbers = itertools.count(1)
         self.held = self.last = 0
-        self.taking = True
+        self.taking, self.stopping = True, False
         self.alarms: list[tuple[int, int, Callable, object]] = []
         self.alarm_numbers = itertools.count()
         self.events: list[c.Event] = []
@@ -196,16 +205,19 @@
 
     def rows(self, attempt: Attempt, rows: bytes) -> None:
         """The next rows of a streamed answer."""
+        attempt.unread += len(rows)
         self._post(self._rows, attempt, rows)
 
-    def listed(self, kind: c.ListKind, entries: tuple[c.Entry, ...], places: list[Place]) -> None:
-        """The whole list of engines. Drain and loss count at once, also for sends still on their way."""
-        self.ready = {e.engine for e in entries if e.state is c.State.READY}
-        self._post(self._listed, kind, entries, places)
+    def listed(self, source: str, kind: c.ListKind, engines: list[tuple[c.Entry, Place]]) -> None:
+        """A source's whole list. Drain and loss count at once, also for sends still on their way."""
+        self.lists[source] = engines
+        whole = [e for held in self.lists.values() for e in held]
+        self.ready = {e.engine for e, _ in whole if e.state is c.State.READY}
+        self._post(self._listed, kind, whole)
 
     def serving(self) -> bool:
-        """The broker can serve: it takes queries and knows of a ready engine."""
-        return self.taking and bool(self.ready)
+        """The broker can serve, and goes on doing so: it knows of a ready engine."""
+        return not self.stopping and bool(self.ready)
 
     def _post(self, what: Callable, *args) -> None:
         self.inbox.append((what, args))
@@ -279,13 +291,13 @@
         if request.over:
             return
         self.counters.invariant(request.begun is not None, "overdue")
-        self._answer(request, "failed", Fault("deadline passed", 159, 408))
+        self._answer(request, "failed", LATE)
         self.events.append(c.ClientLeft(request.number))
 
-    def _listed(self, kind, entries, places) -> None:
-        self.places.update((p.id, p) for p in places)
+    def _listed(self, kind: c.ListKind, engines: list[tuple[c.Entry, Place]]) -> None:
+        self.places.update((p.id, p) for _, p in engines)
         self.counters.add("lists")
-        self.events.append(c.EngineList(kind, entries))
+        self.events.append(c.EngineList(kind, tuple(e for e, _ in engines)))
 
     def _noted(self, attempt: Attempt, kind, value) -> None:
         if attempt.open:
@@ -293,6 +305,7 @@
 
     def _rows(self, attempt: Attempt, rows: bytes) -> None:
         request = attempt.request
+        attempt.unread -= len(rows)
         if not attempt.open or request.over:
             return
         if request.begun is None:  # from here on the answer belongs to this attempt alone
@@ -309,6 +322,7 @@
         request = attempt.request
         self._close(attempt)
         self.counters.add(f"attempt.{outcome.name.lower()}")
+        request.fault = fault or request.fault
         if not request.over:
             if outcome is c.Outcome.OK:
                 self._answer(request, "served", rows)
@@ -365,11 +379,11 @@
             if request.begun is None:
                 self._answer(request, "refused", self.after_most)
             else:  # rows went out: refusing would be a lie
-                self._answer(request, "failed", Fault("deadline passed", 159, 408))
+                self._answer(request, "failed", LATE)
 
     def _fail(self, a: c.Fail) -> None:
         if (request := self.requests.get(a.request)) is not None and not request.over:
-            self._answer(request, "failed", Fault("not answered in time", 159, 408))
+            self._answer(request, "failed", request.fault or LATE)
 
     def _timer(self, a: c.Timer) -> None:
         self._at(self.last + a.after, self._fire, a.token)
--- a/cypressledge/net/buffer.py
+++ b/cypressledge/net/buffer.py
@@ -1,13 +1,38 @@
 """The one receive buffer of a connection: it grows as it needs and is compacted in place."""
 
+from gevent import sleep
+
 FIRST = 4096
 READ = 2048  # least free room before a read
+LARGE = 65536  # a buffer that grew past this is given back once it is empty
+ALL_MOST = 40 << 20
 
 
 class TooLong(Exception):
     """More than a connection may have unread."""
 
 
+class Budget:
+    """Bytes that all connections together may hold. Guards against many peers, each within its own cap."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.held = most, 0
+
+    def take(self, n: int) -> bool:
+        """Hold n bytes more, if there is room."""
+        if self.held + n > self.most:
+            return False
+        self.held += n
+        return True
+
+    def give(self, n: int) -> None:
+        """Hold n bytes less."""
+        self.held -= n
+
+
+GROWN = Budget(ALL_MOST)  # of all buffers of the process, what exceeds their first size
+
+
 class Buffer:
     """Unread bytes lie between `start` and `end` of one bytearray."""
 
@@ -16,6 +41,9 @@
     def __init__(self, cap: int) -> None:
         self.data, self.start, self.end, self.cap = bytearray(FIRST), 0, 0, cap
 
+    def __del__(self) -> None:
+        GROWN.give(len(self.data) - FIRST)
+
     def __len__(self) -> int:
         return self.end - self.start
 
@@ -24,7 +52,10 @@
         self._room()
         with memoryview(self.data) as view, view[self.end:] as free:
             got = sock.recv_into(free)
+            more = got == len(free)
         self.end += got
+        if more:  # a peer that always has more must not keep the others from their turn
+            sleep(0)
         return got
 
     def _room(self) -> None:
@@ -37,7 +68,10 @@
             self.data[:unread] = self.data[self.start:self.end]
             self.start, self.end = 0, unread
         if len(self.data) - unread < READ:
-            self.data.extend(bytes(max(len(self.data), READ)))
+            more = max(len(self.data), READ)
+            if not GROWN.take(more):
+                raise TooLong("all buffers together hold too much")
+            self.data.extend(bytes(more))
 
     def peek(self, mark: bytes, most: int) -> bytes | None:
         """What stands before the mark, left in place; None while the mark has not come."""
@@ -64,3 +98,6 @@
         self.start = to
         if self.start == self.end:
             self.start = self.end = 0
+            if len(self.data) > LARGE:
+                GROWN.give(len(self.data) - FIRST)
+                self.data = bytearray(FIRST)
--- a/cypressledge/net/directory.py
+++ b/cypressledge/net/directory.py
@@ -57,7 +57,7 @@
 
     def tell(self, core: Core, kind: ListKind, engines: list[Listed]) -> None:
         """Hand the whole list to the core."""
-        core.listed(kind, tuple(map(self.entry, engines)), list(map(self.place, engines)))
+        core.listed(self.wire, kind, [(self.entry(e), self.place(e)) for e in engines])
 
 
 def known(config: dict) -> tuple[int, list[Listed]]:
--- /dev/null
+++ b/cypressledge/net/dnssd.py
@@ -0,0 +1,83 @@
+"""DNS-SD (RFC 6763): finds ClickHouse engines by PTR, SRV and TXT records."""
+
+from dataclasses import replace
+
+import dns.exception
+import dns.message
+import dns.name
+import dns.rcode
+import dns.rdatatype
+from gevent import Timeout, sleep
+
+from cypressledge.contract import ListKind, State
+from cypressledge.core import Core, clock
+from cypressledge.counters import log
+from cypressledge.net.directory import BadRecord, Catalogue, Listed, ask, checked, texts
+
+PERIOD = 0.5
+PATIENCE = 0.4
+STATES = {"ready": State.READY, "draining": State.DRAINING}
+
+
+class DnsSd:
+    """Browses one service type; an unreachable or faulty name server leaves the list as it was."""
+
+    def __init__(self, core: Core, server: tuple[str, int], service: str, catalogue: Catalogue) -> None:
+        self.core, self.server, self.catalogue = core, server, catalogue
+        self.service = dns.name.from_text(service)
+        self.last: list[Listed] | None = None
+        self.reached = True
+
+    def run(self) -> None:
+        """Browse for good."""
+        while True:
+            began = clock()
+            try:
+                engines = sorted(self._browse(), key=lambda e: e.name)
+                if engines != self.last:
+                    self.last = engines
+                    self.catalogue.tell(self.core, ListKind.FULL, engines)
+                self._reach(True)
+            except (OSError, Timeout, dns.exception.DNSException, BadRecord, ValueError) as err:
+                self.core.counters.add("dnssd_failures")
+                self._reach(False, err)
+            sleep(max(PERIOD - (clock() - began) / 1e6, 0.05))
+
+    def _reach(self, reached: bool, err: object = "") -> None:
+        if reached != self.reached:
+            self.reached = reached
+            log("dns-sd: answers again" if reached else
+                f"dns-sd: out of reach, the list is kept ({type(err).__name__} {err})")
+
+    def _ask(self, name: dns.name.Name, kind) -> dns.message.Message:
+        query = dns.message.make_query(name, kind, use_edns=True, payload=8192)
+        return checked(query, ask(query, self.server, PATIENCE))
+
+    def _browse(self) -> list[Listed]:
+        answer = self._ask(self.service, dns.rdatatype.PTR)
+        records = _by_name([*answer.answer, *answer.additional])
+        return [self._resolve(ptr.target, records)
+                for ptr in records.get((self.service, dns.rdatatype.PTR), ())]
+
+    def _resolve(self, instance: dns.name.Name, records: dict) -> Listed:
+        srv = self._record(instance, dns.rdatatype.SRV, records)[0]
+        info = {k.lower(): v for k, v in texts(self._record(instance, dns.rdatatype.TXT, records)[0]).items()}
+        host = self._record(srv.target, dns.rdatatype.A, records)[0].address
+        state = STATES.get(info.get("state", "ready"))
+        if state is None:
+            raise BadRecord(f"state of {instance}")
+        engine = Listed(info.get("id") or instance.labels[0].decode(), host, srv.port, state)
+        return replace(engine, kind=info.get("kind", ""), zone=info.get("zone", ""),
+                       cell=int(info.get("cell") or 0), born_ms=int(info.get("started") or 0))
+
+    def _record(self, name: dns.name.Name, kind, records: dict) -> list:
+        """From the additional section, where the server put it there, else by a query of its own."""
+        if (name, kind) not in records:
+            records.update(_by_name(self._ask(name, kind).answer))
+        if not records.get((name, kind)):
+            raise BadRecord(f"no {dns.rdatatype.to_text(kind)} record for {name}")
+        return records[name, kind]
+
+
+def _by_name(rrsets) -> dict:
+    return {(rrset.name, rrset.rdtype): list(rrset) for rrset in rrsets}
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -6,14 +6,13 @@
 import math
 import re
 
-from gevent import Timeout, sleep, socket, spawn
-from gevent.pool import Pool
+from gevent import Timeout
 
 from cypressledge.contract import Effect
 from cypressledge.core import Core, Fault, Query, Request, clock
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Buffer, TooLong
-from cypressledge.net.stream import Writer, end, tune
+from cypressledge.net.stream import Listener, Writer, end
 from cypressledge.sql import table_group
 
 HEAD_MOST = 1024
@@ -62,40 +61,17 @@
 class Front:
     """Listens for clients."""
 
-    def __init__(self, core: Core, listen: tuple[str, int], classes: list[str], tenants: list[str],
+    def __init__(self, core: Core, listen: tuple[str, int], classes: list[str], tenants,
                  counters: Counters, most: int) -> None:
         self.core, self.counters = core, counters
         self.classes = {name: i for i, name in enumerate(classes)}
-        self.tenants = frozenset(tenants)
+        self.tenants = tenants
         self.clients: set[Client] = set()
-        self.pool = Pool(most)
-        family = socket.AF_INET6 if ":" in listen[0] else socket.AF_INET
-        self.sock = socket.socket(family, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(listen)
-        self.sock.listen(512)
-        counters.gauge("client_connections", lambda: len(self.clients))
-
-    def run(self) -> None:
-        """Accept until the listener is closed."""
-        while True:
-            try:
-                sock, _ = self.sock.accept()
-            except OSError as err:
-                if self.sock.closed:
-                    return
-                self.counters.add(f"accept_error.{err.errno}")
-                sleep(0.05)  # out of descriptors, most likely: let some come free
-                continue
-            if self.pool.full():
-                self.counters.add("clients_turned_away")
-                end(sock)
-                continue
-            self.pool.spawn(Client(self, sock).run)
+        self.listener = Listener(listen, most, counters, "clients", lambda sock: Client(self, sock).run())
 
     def stop(self) -> None:
         """Accept nobody any more."""
-        self.sock.close()
+        self.listener.stop()
 
     def flush(self, seconds: float) -> None:
         """Let every client's answers go out."""
@@ -117,8 +93,6 @@
 
     def run(self) -> None:
         """Read until the client leaves or framing is lost."""
-        self.counters.add("clients")
-        tune(self.sock)
         buffer = Buffer(FRAME_MOST + HEAD_MOST)
         try:
             while self._fill(buffer):
@@ -286,6 +260,9 @@
     def part(self, rows: bytes) -> None:
         raise NotImplementedError("JSON-RPC answers whole")
 
+    def pace(self) -> bool:
+        return True
+
     def refused(self, after: int) -> None:
         self._owed()
         self.client._error(self.number, REFUSED, "refused: try again", {"after": after // 1000})
@@ -311,8 +288,3 @@
         return base64.b64decode(content, validate=True)
     except (TypeError, ValueError, binascii.Error):
         raise RpcError(BAD_PARAMS, "content is not base64") from None
-
-
-def start(front: Front):
-    """Accept in a greenlet."""
-    return spawn(front.run)
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -141,11 +141,14 @@
         exchange.dropped = True
         self._settle(exchange)
         if exchange.sent:
-            if exchange.word not in self.stale:
-                self.order.append(exchange.word)
-            self.stale[exchange.word] = clock()
+            self._bar(exchange.word)
             self.say((b"shut " if exchange.pages else b"never_mind ") + exchange.word)
 
+    def _bar(self, word: bytes) -> None:
+        if word not in self.stale:
+            self.order.append(word)
+        self.stale[word] = clock()
+
     def _want(self, exchange: Exchange) -> None:
         a, q = exchange.attempt, exchange.attempt.query
         left = max((a.until - clock()) // 1000, 1)
@@ -263,6 +266,10 @@
         elif what == b"504" and not exchange.pages:
             self._end(exchange, Outcome.MOOT)
         else:  # 500, and whatever an answer that has begun can't be followed by: it may have run
+            if exchange.pages:
+                # Guards against the other pages that were asked for together: their answers still come, and
+                # must not meet a repeat of the id here.
+                self._bar(word)
             self._end(exchange, Outcome.ERROR)
 
     def _first(self, exchange: Exchange, count: int, body: bytes) -> None:
--- a/cypressledge/net/stream.py
+++ b/cypressledge/net/stream.py
@@ -2,8 +2,15 @@
 
 from collections import deque
 
-from gevent import Timeout, socket, spawn
+from gevent import Timeout, sleep, socket, spawn
 from gevent.event import Event
+from gevent.pool import Pool
+
+from cypressledge.counters import Counters
+from cypressledge.net.buffer import Budget
+
+QUEUED = Budget(48 << 20)  # bytes that wait for slow peers, in the whole process
+LOW = 256 << 10  # queued bytes under which a stream may go on
 
 
 class Writer:
@@ -17,29 +24,44 @@
         self.sock, self.most, self.patience, self.gone = sock, most, patience, gone
         self.queue: deque = deque()
         self.queued = 0
-        self.woken, self.flushed = Event(), Event()
+        self.woken, self.flushed, self.low = Event(), Event(), Event()
         self.flushed.set()
+        self.low.set()
         self.closed = False
         self.greenlet = spawn(self._run)
 
     def put(self, *parts: bytes, live=None) -> None:
         """Queue bytes; with `live`, they are dropped if it says no when their turn comes."""
+        raw = b"".join(parts)
         if self.closed:
             return
-        raw = b"".join(parts)
+        if not QUEUED.take(len(raw)):
+            self._lost("peers do not read")
+            return
         self.queue.append((raw, live))
         self.queued += len(raw)
         self.flushed.clear()
         self.woken.set()
+        if self.queued > LOW:
+            self.low.clear()
         if self.queued > self.most:
-            self.closed = True
-            self.gone("peer does not read")
+            self._lost("peer does not read")
 
     def close(self) -> None:
         """Nothing more will be queued; what is queued still goes out."""
         self.closed = True
         self.woken.set()
 
+    def _lost(self, why: str) -> None:
+        self.closed = True
+        QUEUED.give(sum(len(raw) for raw, _ in self.queue))
+        self.queue.clear()
+        self.queued = 0
+        self.flushed.set()
+        self.low.set()
+        self.woken.set()
+        self.gone(why)
+
     def _run(self) -> None:
         try:
             while True:
@@ -51,20 +73,58 @@
                 if self.closed:
                     return
         except (OSError, Timeout) as err:
-            self.closed = True
-            self.flushed.set()
-            self.gone(f"write: {err}")
+            self._lost(f"write: {err}")
 
     def _send(self) -> None:
         taken, parts = 0, []
         while self.queue and taken < 65536:
             raw, live = self.queue.popleft()
             taken += len(raw)
+            QUEUED.give(len(raw))
             if live is None or live():
                 parts.append(raw)
         with Timeout(self.patience):
             self.sock.sendall(b"".join(parts))
-        self.queued -= taken
+        self.queued = max(self.queued - taken, 0)
+        if self.queued <= LOW:
+            self.low.set()
+
+
+class Listener:
+    """Accepts connections on one address and serves each in a greenlet, `most` at once."""
+
+    def __init__(self, listen: tuple[str, int], most: int, counters: Counters, name: str, serve) -> None:
+        self.counters, self.name, self.serve = counters, name, serve
+        self.pool = Pool(most)
+        family = socket.AF_INET6 if ":" in listen[0] else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(listen)
+        self.sock.listen(512)
+        counters.gauge(f"{name}.connections", lambda: len(self.pool))
+
+    def run(self) -> None:
+        """Accept until stopped."""
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError as err:
+                if self.sock.closed:
+                    return
+                self.counters.add(f"{self.name}.accept_error.{err.errno}")
+                sleep(0.05)  # out of descriptors, most likely: let some come free
+                continue
+            if self.pool.full():
+                self.counters.add(f"{self.name}.turned_away")
+                end(sock)
+                continue
+            self.counters.add(f"{self.name}.accepted")
+            tune(sock)
+            self.pool.spawn(self.serve, sock)
+
+    def stop(self) -> None:
+        """Accept nobody any more."""
+        self.sock.close()
 
 
 def tune(sock) -> None:
--- /dev/null
+++ b/tests/test_broker.py
@@ -0,0 +1,335 @@
+"""The real broker on sockets: the platform's protocol."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+
+from cypressledge.sql import table_group
+from tests.stands import (
+    ROOT, ROW, SETTINGS, Broker, Case, content, failing, page, silent, until, whole,
+)
+
+
+class Serving(Case):
+    def test_query_reaches_the_engine_unaltered_and_rows_come_back_byte_for_byte(self):
+        engine = self.engine()
+        client = self.client(self.broker(engine))
+        statement = "SELECT 'é\r\n' FROM sales_17.orders -- x_9.y".encode()
+        client.ask("order-load", statement, id="9b1f03aa5c7e2d41", once="5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+        self.assertEqual(content(client.get()), ROW)
+        _, name, fields, sent = engine.wants[0]
+        self.assertEqual((name, sent), ("9b1f03aa5c7e2d41", statement))
+        self.assertEqual((fields["c"], fields["i"]), ("order-load", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"))
+        self.assertTrue(0 < int(fields["w"]) <= 3000 and int(fields["heap"]) >= 10)
+        self.assertIn(fields["order"], "0123")
+
+    def test_pages_are_asked_for_together_and_joined_in_order(self):
+        def paged(engine, say, name, fields, statement):
+            say(name, "200", "count=4", page(0))
+
+        engine = self.engine(paged)
+        client = self.client(self.broker(engine))
+        client.ask()
+        self.assertEqual(content(client.get()), b"".join(map(page, range(4))))
+        self.assertEqual([w[2] for w in engine.said("turn")], ["1", "2", "3"])
+
+    def test_lost_page_is_an_error_that_is_tried_again(self):
+        """The other pages' answers still come: on one connection they would end the repeat as well."""
+        def once(engine, say, name, fields, statement):
+            if len(engine.wants) == 1:
+                say(name, "200", "count=3", page(0))
+                say(name, "500")
+            else:
+                whole(engine, say, name, fields, statement)
+
+        engine = self.engine(once)
+        client = self.client(self.broker(engine))
+        client.ask()
+        self.assertEqual(content(client.get()), ROW)
+        self.assertEqual(len(engine.wants), 2)
+        self.assertIsNot(engine.wants[0][0], engine.wants[1][0])
+
+    def test_connections_carry_32_attempts_each(self):
+        engine = self.engine(silent)
+        broker = self.broker(engine, change={"settings": SETTINGS | {"Limits": SETTINGS["Limits"] | {
+            "StreamsPerConn": 2}}})
+        client = self.client(broker)
+        for _ in range(5):
+            client.ask()
+        until(lambda: len(engine.wants) == 5)
+        each = [sum(conn is c for c, *_ in engine.wants) for conn in {c for c, *_ in engine.wants}]
+        self.assertEqual(sorted(each), [1, 2, 2])
+
+
+class Ending(Case):
+    def test_silent_engine_still_gets_the_client_an_answer_in_time(self):
+        client = self.client(self.broker(self.engine(silent)))
+        began = time.monotonic()
+        client.ask(wait=600)
+        self.assertIn("error", client.get())
+        self.assertLess(time.monotonic() - began, 0.66)
+
+    def test_refusal_says_when_to_come_back(self):
+        client = self.client(self.broker(self.engine(failing("503"))))
+        client.ask(wait=900)
+        error = client.get()["error"]
+        self.assertEqual((error["code"], error["data"]), (-32066, {"after": 1000}))
+
+    def test_outcomes_that_prove_nothing_ran_let_a_load_be_refused(self):
+        for word, refused in (("503", True), ("504", True), ("500", True)):
+            with self.subTest(word):  # a load's key is known to all engines: it may be refused after 500 too
+                client = self.client(self.broker(self.engine(failing(word))))
+                client.ask("order-load", once="ab" * 16, wait=1500)
+                self.assertEqual(client.get()["error"]["code"] == -32066, refused)
+
+    def test_at_most_three_attempts(self):
+        engine = self.engine(failing("500"))
+        client = self.client(self.broker(engine))
+        client.ask()
+        self.assertIn("error", client.get())
+        self.assertEqual(len(engine.wants), 3)
+
+    def test_withdrawn_request_is_owed_nothing_and_cancelled_at_the_engine(self):
+        engine = self.engine(silent)
+        client = self.client(self.broker(engine))
+        client.ask(id="00000000000000aa")
+        until(lambda: engine.wants, "the attempt")
+        client.raw(b'{"jsonrpc":"2.0","method":"withdraw","params":{"id":"00000000000000aa"}}')
+        until(lambda: engine.said("never_mind"), "the cancel")
+        client.send("status")
+        self.assertEqual(client.get()["id"], 2)
+
+    def test_client_that_closes_is_owed_nothing_and_its_work_is_cancelled(self):
+        engine = self.engine(silent)
+        client = self.client(self.broker(engine))
+        client.ask()
+        until(lambda: engine.wants, "the attempt")
+        client.close()
+        until(lambda: engine.said("never_mind"), "the cancel")
+
+    def test_repeat_never_shares_a_connection_with_its_unsettled_attempt(self):
+        """A cancelled attempt may still be answered: its repeat must not take that answer for its own."""
+        def runaway(engine, say, name, fields, statement):
+            if len(engine.wants) == 1:
+                for _ in range(40):
+                    say(name, "status", "note=done,reading=0.001")
+                    if engine.said("never_mind"):
+                        return say(name, "200", "count=1", b"late\n")
+                    time.sleep(0.1)
+            else:
+                whole(engine, say, name, fields, statement)
+
+        engine = self.engine(runaway)
+        client = self.client(self.broker(engine))
+        client.ask(cost=20.0)
+        self.assertEqual(content(client.get()), ROW)
+        self.assertIsNot(engine.wants[0][0], engine.wants[1][0])
+
+    def test_engine_that_dies_resets_its_attempts_and_another_serves(self):
+        first = self.engine(silent)
+        second = self.engine(name="s-2")
+        broker = self.broker(first)
+        client = self.client(broker)
+        client.ask()
+        until(lambda: first.wants, "the attempt")
+        broker.dns.engines["s-2"] = (second.port, 0)
+        broker.dns.serial = 2
+        asked = broker.dns.asked
+        until(lambda: broker.dns.asked > asked + 1, "the new list")
+        first.close()
+        self.assertEqual(content(client.get()), ROW)
+
+
+class Framing(Case):
+    def setUp(self):
+        self.one = self.client(self.broker(self.engine()))
+
+    def error(self, body):
+        self.one.raw(body)
+        return self.one.get()
+
+    def test_errors_of_the_standard_keep_the_connection(self):
+        good = {"id": "00000000000000aa", "wait": 1000, "tenant": "sahel", "content": ""}
+
+        def call(number, method="lookup", **change):
+            return json.dumps({"jsonrpc": "2.0", "id": number, "method": method,
+                               "params": good | change}).encode()
+
+        for body, code, number in (
+            (b"{nonsense", -32700, None), (b"[]", -32600, None), (b'{"jsonrpc":"2.0","id":1}', -32600, None),
+            (call(0), -32600, None), (call(1, "nothing"), -32601, 1), (call(2, wait="x"), -32602, 2),
+            (call(3, wait=float("inf")), -32602, 3), (call(4, id="zz"), -32602, 4),
+            (call(5, tenant="nobody"), -32602, 5), (call(6, content="*"), -32602, 6),
+            (call(7, "order-load"), -32602, 7), (call(8, once="a,b", method="order-load"), -32602, 8),
+            (call(8), -32600, None), (b"[" * 100_000, -32700, None),
+        ):
+            with self.subTest(body[:60]):
+                answer = self.error(body)
+                self.assertEqual((answer["error"]["code"], answer["id"]), (code, number))
+        self.one.number = 20
+        self.one.ask()
+        self.assertEqual(content(self.one.get()), ROW)
+
+    def test_bad_framing_closes_the_connection(self):
+        for head in (b"Content-Length: x\r\n\r\n", b"Nothing: 1\r\n\r\n", b"Content-Length: 99999999\r\n\r\n",
+                     b"no colon\r\n\r\n", b"y" * 5000):
+            with self.subTest(head[:30]):
+                client = self.client_of(self.one)
+                client.raw(b"", head)
+                self.assertEqual(client.get()["error"]["code"], -32600)
+                self.assertIsNone(client.get())
+
+    def client_of(self, other):
+        client = type(other)(other.sock.getpeername()[1])
+        self.addCleanup(client.close)
+        return client
+
+
+class Listing(Case):
+    def test_drained_engine_gets_nothing_new_and_older_lists_are_ignored(self):
+        first, second = self.engine(), self.engine(name="s-2")
+        broker = self.broker(first, second)
+        client = self.client(broker)
+        broker.dns.engines["s-1"] = (first.port, 1)
+        broker.dns.serial = 7
+        asked = broker.dns.asked
+        until(lambda: broker.dns.asked > asked + 1, "the drain")
+        broker.dns.serial = 3  # an older list, which would bring s-1 back
+        broker.dns.engines["s-1"] = (first.port, 0)
+        asked = broker.dns.asked
+        until(lambda: broker.dns.asked > asked + 1, "the older list")
+        for _ in range(20):
+            client.ask()
+            self.assertEqual(content(client.get()), ROW)
+        self.assertEqual((len(first.wants), len(second.wants)), (0, 20))
+
+    def test_list_is_kept_while_the_directory_is_out_of_reach(self):
+        broker = self.broker(self.engine())
+        broker.dns.mute = True
+        until(lambda: "out of reach" in broker.words(), "the log line")
+        client = self.client(broker)
+        client.ask()
+        self.assertEqual(content(client.get()), ROW)
+        broker.dns.mute = False
+        until(lambda: "answers again" in broker.words(), "the log line")
+
+    def test_not_healthy_without_engines(self):
+        broker = self.broker()
+        client = until(lambda: self._try(broker), "the listener")
+        client.send("status")
+        self.assertFalse(client.get()["result"]["healthy"])
+
+    def _try(self, broker):
+        try:
+            return self.client(broker)
+        except OSError:
+            return None
+
+    def test_address_of_a_gone_engine_is_not_taken_for_the_engine(self):
+        first = self.engine()
+        broker = self.broker(first)
+        client = self.client(broker)
+        client.ask()
+        client.get()
+        del broker.dns.engines["s-1"]
+        broker.dns.engines["s-9"] = (first.port, 0)
+        broker.dns.serial = 2
+        asked = broker.dns.asked
+        until(lambda: broker.dns.asked > asked + 1, "the new list")
+        client.ask()
+        self.assertEqual(content(client.get()), ROW)
+        self.assertIsNot(first.wants[0][0], first.wants[1][0])
+
+
+class Process(Case):
+    def test_sigterm_goes_on_serving_then_answers_all_and_exits(self):
+        def slow(engine, say, name, fields, statement):
+            until(lambda: engine.released, "the release")
+            whole(engine, say, name, fields, statement)
+
+        engine = self.engine(slow)
+        engine.released = False
+        broker = self.broker(engine)
+        client = self.client(broker)
+        client.ask()
+        until(lambda: engine.wants, "the attempt")
+        broker.process.terminate()
+        until(lambda: "stopping" in broker.words(), "the log line")
+        late = self.client(broker)  # new connections are still taken
+        late.send("status")
+        self.assertFalse(late.get()["result"]["healthy"])
+        late.ask()
+        engine.released = True
+        self.assertEqual((content(client.get()), content(late.get())), (ROW, ROW))
+        self.assertEqual(broker.process.wait(15), 0)
+        self.assertIn("counters (exit):", broker.words())
+        self.assertIn("served.lookup=2", broker.words())
+
+    def test_counters_on_request(self):
+        broker = self.broker(self.engine())
+        client = self.client(broker)
+        client.ask()
+        client.get()
+        broker.process.send_signal(signal.SIGUSR1)
+        until(lambda: "counters (asked):" in broker.words(), "the counters")
+        self.assertRegex(broker.words(), "attempts.first=1 .*served.lookup=1 .*taken.lookup=1")
+        self.assertNotIn("broken.", broker.words())
+
+    def test_debug_build_serves_too(self):
+        client = self.client(self.broker(self.engine(), optimise=False))
+        client.ask()
+        self.assertEqual(content(client.get()), ROW)
+
+    def test_bad_configuration_is_one_plain_line(self):
+        for change, word in (
+            ({"listen": "nowhere"}, "HOST:PORT"), ({"settings": {}}, "Limits"), ({"seed": "xyz"}, "xyz"),
+            ({"known": {"batch": [{}]}}, "topology"), ({"limits": {}}, "sockets"),
+            ({"settings": SETTINGS | {"Step": 0}}, "tick")):
+            with self.subTest(word):
+                broker = Broker(change=change)
+                self.addCleanup(broker.close)
+                self.assertEqual(broker.process.wait(15), 2)
+                lines = broker.words().splitlines()
+                self.assertEqual(len(lines), 1, lines)
+                self.assertIn(word, lines[0])
+
+    def test_no_configuration_is_one_plain_line(self):
+        run = subprocess.run([sys.executable, "-m", "cypressledge"], cwd=ROOT, env={}, capture_output=True)
+        self.assertEqual((run.returncode, run.stderr), (2, b"cypressledge: ROUTER_CONFIG is not set\n"))
+
+    def test_refused_connection_proves_nothing_ran(self):
+        dead = self.engine()
+        dead.close()
+        broker = self.broker(dead)
+        client = self.client(broker)
+        client.ask("order-load", once="cd" * 16, wait=1200)
+        self.assertEqual(client.get()["error"]["code"], -32066)
+
+    def test_peer_that_does_not_read_stalls_nobody_else(self):
+        big = b"x\ty\tz\n" * 900
+
+        def flood(engine, say, name, fields, statement):
+            say(name, "200", "count=1", big)
+
+        broker = self.broker(self.engine(flood))
+        deaf, other = self.client(broker), self.client(broker)
+        for _ in range(30):
+            deaf.ask()
+        other.ask()
+        self.assertEqual(content(other.get()), big)
+
+
+class Groups(Case):
+    def test_table_group(self):
+        for statement, group in (
+            ("SELECT a FROM sales_17.orders", 17),
+            ("SELECT o_2.a FROM staging.x o_1 JOIN sales_8.lines o_2 ON o_1.k = o_2.k", 8),
+            ("INSERT INTO sales_3.orders SELECT * FROM staging.load_4", 3),
+            ("SELECT 'from sales_1.t' /* from sales_2.t */ -- from sales_5.t\n FROM sales_6.t", 6),
+            ('UPDATE "sales_12"."orders" SET a = 1', 12), ("DELETE FROM db.sales_9.t", 9),
+            ("SELECT 'it''s from sales_4.t' FROM sales_5.t", 5), ("SELECT 1", 0), ("SELECT a FROM orders", 0),
+        ):
+            with self.subTest(statement):
+                self.assertEqual(table_group(statement), group)
--- /dev/null
+++ b/tests/test_clickhouse.py
@@ -0,0 +1,383 @@
+"""The second front: ClickHouse HTTP, DNS-SD and the administration API, against stand-ins."""
+
+import base64
+import hashlib
+import http.client
+import json
+import threading
+import time
+from contextlib import closing
+from urllib.parse import urlencode
+
+from tests.stands import (
+    ROW, WAIT, Case, ChEngine, breaking, ch_error, content, free_port, hang_up, page, rows, silent, stalling,
+    until,
+)
+
+KEY, TOKEN = "key-of-the-sales-office", "token-of-the-administrators"
+LOGIN = {"X-ClickHouse-User": "sales", "X-ClickHouse-Key": KEY}
+TYPE = "_clickhouse-http._tcp.cluster.lan."
+
+
+class Service(Case):
+    """A broker with the second front; its engines are found by DNS-SD."""
+
+    def service(self, *engines, lines=()):
+        self.port, self.admin = free_port(), free_port()
+        broker = self.broker(*lines, env={"ADMIN": TOKEN, "ENGINE": "secret"}, service=lambda b: f"""
+            [clickhouse]
+            listen = "127.0.0.1:{self.port}"
+            [engines]
+            user = "broker"
+            key_env = "ENGINE"
+            [dns_sd]
+            server = "127.0.0.1:{b.dns.port}"
+            service = "{TYPE}"
+            [admin]
+            listen = "127.0.0.1:{self.admin}"
+            token_env = "ADMIN"
+            [[tenant]]
+            name = "sales"
+            key_sha256 = "{hashlib.sha256(KEY.encode()).hexdigest()}"
+            """)
+        for n, engine in enumerate(engines):
+            broker.dns.instances[f"ch-{n}.{TYPE}"] = (engine.port, "ready")
+        if engines:
+            broker.ready()
+            until(lambda: len(self.api("GET", "/v1/engines")[1]["engines"]) == len(engines) + len(lines))
+        return broker
+
+    def ask(self, body=b"SELECT a, b, c FROM sales_17.orders", method="POST", path="/", login=LOGIN,
+            **params):
+        """One exchange: status, headers, body."""
+        with closing(http.client.HTTPConnection("127.0.0.1", self.port, timeout=WAIT)) as conn:
+            conn.request(method, f"{path}?{urlencode(params)}", body if method == "POST" else None, login)
+            answer = conn.getresponse()
+            return answer.status, answer.headers, answer.read()
+
+    def begin(self, target):
+        """A query whose answer is not awaited."""
+        conn = http.client.HTTPConnection("127.0.0.1", self.port, timeout=WAIT)
+        self.addCleanup(conn.close)
+        conn.request("POST", target, b"SELECT a FROM sales_1.t", LOGIN)
+        return conn
+
+    def code(self, *args, **more):
+        status, headers, body = self.ask(*args, **more)
+        code = headers["X-ClickHouse-Exception-Code"]
+        self.assertTrue(body.startswith(b"Code: %s. DB::Exception: " % code.encode()), body)
+        return status, int(code)
+
+    def api(self, method, path, value=None, token=TOKEN):
+        with closing(http.client.HTTPConnection("127.0.0.1", self.admin, timeout=WAIT)) as conn:
+            conn.request(method, path, json.dumps(value) if value is not None else None,
+                         {"Authorization": f"Bearer {token}"})
+            answer = conn.getresponse()
+            body = answer.read()
+            return answer.status, json.loads(body) if body else None
+
+    def count(self, name):
+        return self.api("GET", "/v1/counters")[1].get(name, 0)
+
+
+class Asking(Service):
+    def test_post_get_and_both_reach_the_engine_under_id_class_and_deadline(self):
+        engine = self.engine(rows(ROW, page(1)), kind=ChEngine)
+        self.service(engine)
+        status, headers, body = self.ask(
+            query_id="my-id", workload="report", max_execution_time="2.5", insert_deduplication_token="k1")
+        self.assertEqual((status, body), (200, ROW + page(1)))
+        self.assertEqual(headers["Transfer-Encoding"], "chunked")
+        self.assertEqual((headers["X-ClickHouse-Query-Id"], headers["X-ClickHouse-Format"]),
+                         ("my-id", "TabSeparated"))
+        params, statement, sent = engine.asked[0]
+        self.assertEqual(statement, b"SELECT a, b, c FROM sales_17.orders")
+        self.assertEqual((params["query_id"], params["workload"], params["insert_deduplication_token"]),
+                         ("my-id", "report", "k1"))
+        self.assertTrue(0 < float(params["max_execution_time"]) <= 2.5)
+        self.assertEqual((sent["x-clickhouse-user"], sent["x-clickhouse-key"]), ("broker", "secret"))
+        self.assertEqual(self.ask(method="GET", query="SELECT 1")[2], ROW + page(1))
+        data = b"1\t\xff\n"
+        self.ask(data, query="INSERT INTO sales_2.orders FORMAT TSV", max_execution_time="900")
+        params, statement, _ = engine.asked[-1]
+        self.assertEqual(statement, b"INSERT INTO sales_2.orders FORMAT TSV\n" + data)
+        self.assertEqual(params["workload"], "order-load")  # and never beyond the class's own deadline:
+        self.assertLessEqual(float(params["max_execution_time"]), 20.0)
+        self.assertTrue(params["insert_deduplication_token"])
+
+    def test_ways_to_name_the_tenant(self):
+        self.service(self.engine(kind=ChEngine))
+        basic = {"Authorization": "Basic " + base64.b64encode(f"sales:{KEY}".encode()).decode()}
+        self.assertEqual(self.ask(login=basic)[0], 200)
+        self.assertEqual(self.ask(login={}, user="sales", password=KEY)[0], 200)
+        for login in ({}, {"X-ClickHouse-User": "sales"}, LOGIN | {"X-ClickHouse-Key": "wrong"},
+                      LOGIN | basic, {"Authorization": "Bearer x"}, {"X-ClickHouse-User": "sahel"}):
+            with self.subTest(login):
+                self.assertEqual(self.code(login=login), (403, 516))
+
+    def test_ping_tells_whether_it_serves(self):
+        broker = self.service()
+        until(lambda: "cannot listen" not in broker.words() and self._ping())
+        self.assertEqual(self._ping(), 503)
+        engine = self.engine(kind=ChEngine)
+        broker.dns.instances[f"ch-0.{TYPE}"] = (engine.port, "ready")
+        until(lambda: self._ping() == 200, "a healthy ping")
+
+    def _ping(self):
+        try:
+            return self.ask(method="GET", path="/ping", login={})[0]
+        except OSError:
+            return None
+
+    def test_what_is_not_supported_gets_a_plain_error(self):
+        self.service(self.engine(kind=ChEngine))
+        select = b"SELECT 1"
+        for expected, body, more in (
+            ((501, 48), select, {"session_id": "s"}), ((501, 48), select, {"param_x": "1"}),
+            ((404, 115), select, {"max_threads": "4"}), ((400, 36), select, {"workload": "nothing"}),
+            ((400, 36), select, {"max_execution_time": "soon"}), ((404, 73), b"SELECT 1 FORMAT JSON", {}),
+            ((404, 73), select, {"default_format": "CSV"}), ((400, 62), b"  ", {}),
+            ((400, 36), select, {"query_id": "a b"}), ((404, 48), select, {"path": "/other"}),
+            ((501, 48), select, {"method": "PUT"}),
+            ((500, 164), b"", {"method": "GET", "query": "INSERT INTO t VALUES (1)"}),
+            ((501, 48), select, {"login": LOGIN | {"Content-Encoding": "gzip"}}),
+        ):
+            with self.subTest(more or body):
+                self.assertEqual(self.code(body, **more), expected)
+
+    def test_running_id_is_not_taken_twice(self):
+        engine = self.engine(stalling, kind=ChEngine)
+        self.service(engine)
+        self.begin("/?query_id=one")
+        until(lambda: engine.asked, "the attempt")
+        self.assertEqual(self.code(query_id="one"), (500, 216))
+
+
+class Failing(Service):
+    def test_refusal_is_503_with_retry_after(self):
+        self.service(self.engine(ch_error(503, 202, b"Code: 202. DB::Exception: full"), kind=ChEngine))
+        status, headers, _ = self.ask(max_execution_time="0.9")
+        self.assertEqual((status, headers["Retry-After"]), (503, "1"))
+        self.assertEqual(headers["X-ClickHouse-Exception-Code"], "202")
+
+    def test_engines_error_on_the_statement_itself_is_passed_on_at_once(self):
+        text = b"Code: 60. DB::Exception: no such table. (UNKNOWN_TABLE)"
+        engine = self.engine(ch_error(404, 60, text), kind=ChEngine)
+        self.service(engine)
+        status, headers, body = self.ask()
+        self.assertEqual((status, headers["X-ClickHouse-Exception-Code"], body), (404, "60", text + b"\n"))
+        self.assertEqual(len(engine.asked), 1)
+
+    def test_other_errors_are_tried_again_within_three_attempts(self):
+        engine = self.engine(ch_error(500, 241, b"Code: 241. DB::Exception: memory"), kind=ChEngine)
+        self.service(engine)
+        self.assertIn(self.ask()[0], (500, 503))
+        self.assertEqual(len(engine.asked), 3)
+
+    def test_deadline_is_kept(self):
+        def mute(engine, send, params, statement):
+            engine.closed.wait(WAIT)
+
+        self.service(self.engine(mute, kind=ChEngine))
+        began = time.monotonic()
+        status, _ = self.code(max_execution_time="0.5")
+        self.assertIn(status, (408, 503))
+        self.assertLess(time.monotonic() - began, 1.0)
+
+    def test_client_that_closes_mid_stream_leaves_nothing_behind(self):
+        engine = self.engine(stalling, kind=ChEngine)
+        self.service(engine)
+        conn = self.begin("/?workload=report")
+        self.assertEqual(conn.getresponse().read(len(ROW)), ROW)
+        hang_up(conn.sock)
+        conn.close()
+        self.assertTrue(engine.closed.wait(WAIT), "the engine's work goes on")
+        until(lambda: self.count("open_requests") == 0, "an empty ledger")
+        until(lambda: self.count("clickhouse.engine_connections") == 0, "closed connections")
+        self.assertEqual((self.count("withdrawn"), len(engine.asked)), (1, 1))
+        self.assertEqual(self.api("GET", "/v1/tenants/sales")[1]["open"], 0)
+
+    def test_after_the_first_byte_no_second_attempt_and_a_visibly_broken_stream(self):
+        def tagged(engine, send, params, statement):
+            send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                 b"X-ClickHouse-Exception-Tag: tagtag\r\n\r\n")
+            for part in (ROW * 9, b"\r\n__exception__\r\ntag", b"tag\r\nCode: 241\r\n"):
+                send(b"%x\r\n%s\r\n" % (len(part), part))
+            send(b"0\r\n\r\n")
+
+        for play in (breaking, tagged):
+            with self.subTest(play.__name__):
+                engine = self.engine(play, kind=ChEngine)
+                self.service(engine, self.engine(play, kind=ChEngine))
+                with self.assertRaises(http.client.IncompleteRead) as caught:
+                    self.ask()
+                self.assertTrue(caught.exception.partial.startswith(ROW[:5]))
+                self.assertNotIn(b"__exception__", caught.exception.partial)
+                self.assertEqual(self.count("attempts.first"), 1)
+                self.assertEqual(self.count("attempts.further"), 0)
+
+    def test_slow_reader_does_not_make_the_broker_hold_the_result(self):
+        part = b"0123456789\tx\ty\n" * 4096
+
+        def endless(engine, send, params, statement):
+            send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for _ in range(1024):  # 62 MB
+                send(b"%x\r\n%s\r\n" % (len(part), part))
+                engine.sent += len(part)
+
+        engine = self.engine(endless, kind=ChEngine)
+        engine.sent = 0
+        self.service(engine)
+        self.begin("/?workload=report&max_execution_time=4")
+        until(lambda: engine.sent, "the first rows")
+        self.assertEqual(self.api("GET", "/v1/engines")[0], 200)  # nobody else is stalled
+        until(lambda: self.count("open_requests") == 0, "the deadline")
+        self.assertLess(engine.sent, 40 << 20)
+
+
+class Loading(Service):
+    def test_load_sent_twice_has_one_effect_and_two_answers(self):
+        engines = [self.engine(kind=ChEngine) for _ in range(2)]
+        self.service(*engines)
+        answers, token = [], "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+        def load(n):
+            answers.append(self.ask(b"INSERT INTO sales_5.orders VALUES (1)", query_id=f"load-{n}",
+                                    insert_deduplication_token=token)[0])
+
+        threads = [threading.Thread(target=load, args=(n,)) for n in range(2)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join(WAIT)
+        self.assertEqual(answers, [200, 200])
+        asked = [params for e in engines for params, *_ in e.asked]
+        self.assertEqual({p["insert_deduplication_token"] for p in asked}, {token})
+        self.assertEqual({p["query_id"] for p in asked}, {"load-0", "load-1"})
+        self.assertEqual(len(set().union(*(e.effects for e in engines))), 1)
+
+    def test_both_protocols_through_one_core(self):
+        """Every taken request has exactly one final answer; attempts beyond the first stay in the ration."""
+        lines = self.engine(self._flaky)
+        hosts = [self.engine(self._flaky_http, kind=ChEngine) for _ in range(2)]
+        broker = self.service(*hosts, lines=(lines,))
+        client, got, each = self.client(broker), [], 60
+
+        def over_http(part):
+            for n in range(each // 3):
+                got.append(self.ask(query_id=f"h{part}-{n}", max_execution_time="2.5")[0])
+
+        threads = [threading.Thread(target=over_http, args=(part,)) for part in range(3)]
+        for t in threads:
+            t.start()
+        answers = []
+        for at in range(0, each, 20):
+            for n in range(at, at + 20):
+                client.ask("order-load" if n % 10 == 0 else "lookup", wait=2500, **(
+                    {"once": f"{n:032x}"} if n % 10 == 0 else {}))
+            answers += [client.get() for _ in range(20)]
+        for t in threads:
+            t.join(4 * WAIT)
+        self.assertEqual(sorted(a["id"] for a in answers), list(range(1, each + 1)))
+        self.assertEqual(len(got), each)
+        served = [content(a) for a in answers if "result" in a]
+        self.assertTrue(served and all(rows == ROW for rows in served))
+        self.assertIn(200, got)
+        self.assertTrue(all(status in (200, 500, 503) for status in got), got)
+        counts = self.api("GET", "/v1/counters")[1]
+
+        def total(word):
+            return sum(n for name, n in counts.items() if name.startswith(word + "."))
+
+        self.assertEqual(total("taken"), 2 * each)
+        self.assertEqual(total("served") + total("refused") + total("failed"), 2 * each)
+        self.assertEqual(total("broken"), 0)
+        self.assertLessEqual(counts["attempts.further"], 3 + 0.1 * 2 * each)
+        self.assertTrue(lines.wants and any(e.asked for e in hosts))
+        client.send("status")
+        self.assertEqual(client.get()["id"], each + 1)  # and no second answer stood before it
+
+    @staticmethod
+    def _flaky(engine, say, name, fields, statement):
+        if len(engine.wants) % 8 == 0:
+            return say(name, "500")
+        say(name, "200", "count=1", ROW)
+
+    @staticmethod
+    def _flaky_http(engine, send, params, statement):
+        bad = len(engine.asked) % 8 == 0
+        (ch_error(500, 241, b"memory") if bad else rows(ROW))(engine, send, params, statement)
+
+
+class Administering(Service):
+    def test_tenants_are_added_changed_listed_and_removed(self):
+        self.service(self.engine(kind=ChEngine))
+        login = {"X-ClickHouse-User": "hotel", "X-ClickHouse-Key": "a-key-of-the-hotel"}
+        self.assertEqual(self.ask(login=login)[0], 403)
+        made = self.api("POST", "/v1/tenants", {"name": "hotel", "key": "a-key-of-the-hotel", "most_open": 2})
+        self.assertEqual(made, (201, {"name": "hotel", "most_open": 2, "enabled": True, "open": 0}))
+        self.assertEqual(self.ask(login=login)[0], 200)
+        again = {"name": "hotel", "key": "another-long-key"}
+        self.assertEqual(self.api("POST", "/v1/tenants", again)[0], 409)
+        names = [t["name"] for t in self.api("GET", "/v1/tenants")[1]["tenants"]]
+        self.assertEqual(names, ["hotel", "sales"])
+        self.assertEqual(self.api("PATCH", "/v1/tenants/hotel", {"enabled": False})[0], 200)
+        self.assertEqual(self.ask(login=login)[0], 403)
+        self.assertEqual(self.api("PATCH", "/v1/tenants/hotel", {"enabled": True})[0], 200)
+        self.assertEqual(self.ask(login=login)[0], 200)
+        self.assertEqual(self.api("DELETE", "/v1/tenants/hotel"), (204, None))
+        self.assertEqual(self.ask(login=login)[0], 403)
+        self.assertEqual(self.api("GET", "/v1/tenants/hotel")[0], 404)
+
+    def test_what_is_wrong_is_said(self):
+        self.service(self.engine(kind=ChEngine))
+        for status, *call in (
+            (401, "GET", "/v1/tenants", None, "wrong"), (404, "GET", "/v1/nothing"),
+            (405, "PUT", "/v1/tenants"),
+            (422, "POST", "/v1/tenants", {"name": "x y", "key": "long-enough-key"}),
+            (422, "POST", "/v1/tenants", {"name": "x"}), (400, "POST", "/v1/tenants", [1]),
+            (422, "PATCH", "/v1/tenants/sales", {"most_open": -1}),
+            (422, "PATCH", "/v1/tenants/sales", {"colour": "red"}),
+        ):
+            with self.subTest(call):
+                got = self.api(*call)
+                self.assertEqual(got[0], status)
+                self.assertTrue(got[1]["error"])
+
+    def test_most_open_requests_of_a_tenant(self):
+        engine = self.engine(stalling, kind=ChEngine)
+        self.service(engine)
+        self.api("PATCH", "/v1/tenants/sales", {"most_open": 1})
+        self.begin("/?workload=report")
+        until(lambda: engine.asked, "the attempt")
+        status, headers, _ = self.ask()
+        self.assertEqual((status, headers["Retry-After"]), (503, "1"))
+
+    def test_engines_come_and_go_by_dns_sd(self):
+        engine = self.engine(kind=ChEngine)
+        broker = self.service(engine)
+        listed = self.api("GET", "/v1/engines")[1]["engines"]
+        self.assertEqual(listed, [{
+            "name": "ch-0", "address": f"127.0.0.1:{engine.port}", "wire": "clickhouse", "state": "ready",
+            "attempts": 0}])
+        broker.dns.instances[f"ch-0.{TYPE}"] = (engine.port, "draining")
+        until(lambda: self.api("GET", "/v1/engines")[1]["engines"][0]["state"] == "draining", "the drain")
+        status, _, _ = self.ask(max_execution_time="0.5")
+        self.assertEqual((status, engine.asked), (503, []))
+
+    def test_off_unless_asked_for(self):
+        lines = self.engine(silent)
+        self.broker(lines)
+        self.port = free_port()
+        with self.assertRaises(OSError):
+            self.ask()
+
+    def test_bad_service_file_is_one_plain_line(self):
+        for text, word in (
+                ("x", "TOML"), ("[admin]", "clickhouse"), ('[clickhouse]\nlisten = "x"', "HOST:PORT"),
+                ('[clickhouse]\nlisten="127.0.0.1:1"\n[admin]\nlisten="127.0.0.1:2"', "token")):
+            with self.subTest(word):
+                broker = self.broker(service=lambda b, text=text: text)
+                self.assertEqual(broker.process.wait(WAIT), 2)
+                self.assertIn(word, broker.words())
+                self.assertEqual(len(broker.words().splitlines()), 1)
