--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -26,7 +26,7 @@
 from cypressledge.tenants import Tenants
 
 LINGER = 0.8  # seconds that a stopping broker goes on taking requests
-LAST_WORDS = 1.0  # seconds for the last answers to leave
+LAST_WORDS = 0.5  # seconds for the last answers to leave
 
 
 class ConfigError(Exception):
@@ -79,7 +79,7 @@
         self.core = Core(settings, config.seed, self.counters, int(limits.get("MaxRetryAfter", 0)))
         lines = LinesLink(
             self.core, limits["StreamsPerConn"], limits["ConnectTimeout"] / 1e6, limits["ConnIdle"] / 1e6,
-            most=config.sockets // 4)
+            most=config.sockets // 4, notes_us=int(s.get("FamilyInfo", {}).get("TellsEvery", 0)))
         self.core.links["lines"] = lines
         tenants = Tenants([t["Name"] for t in s.get("Customers", ())])
         self.front = Front(self.core, config.listen, [k["Name"] for k in s["Classes"]], tenants,
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -168,7 +168,7 @@
         self.events: list[c.Event] = []
         self.do = {
             c.Send: self._send, c.SetTerms: self._terms, c.Cancel: self._cancel, c.Refuse: self._refuse,
-            c.Fail: self._fail, c.Timer: self._timer, c.Subscribe: lambda a: None,
+            c.Fail: self._fail, c.Timer: self._timer, c.Subscribe: lambda a: None,  # the directory is polled in any case
             c.Log: lambda a: log(f"module: {a.text}"),
         }
         counters.gauge("open_requests", lambda: len(self.requests))
@@ -232,23 +232,24 @@
             now = self.now()
             while self.inbox:
                 what, args = self.inbox.popleft()
-                what(*args)
+                self._guarded(what, *args)
             while self.alarms and self.alarms[0][0] <= now:
                 _, _, what, arg = heappop(self.alarms)
-                what(arg)
+                self._guarded(what, arg)
             self.last = now
             if self.events:
-                self._decide(now)
+                events, self.events = self.events, []
+                for action in self._guarded(self.manager.handle, now, events) or ():
+                    self._guarded(self.do[type(action)], action)
 
-    def _decide(self, now: int) -> None:
-        events, self.events = self.events, []
+    def _guarded(self, what: Callable, *args) -> object:
+        """Guards against one odd event stopping all service: the ledger answers what was lost by it."""
         try:
-            for action in self.manager.handle(now, events):
-                self.do[type(action)](action)
+            return what(*args)
         except Exception:
-            # Guards against one odd event stopping all service: the ledger answers what the module lost.
-            log("module failed:\n" + traceback.format_exc())
-            self.counters.invariant(False, "module")
+            log(f"core failed in {what.__name__}:\n" + traceback.format_exc())
+            self.counters.invariant(False, "exception")
+            return None
 
     def now(self) -> int:
         """The module's clock never steps back, even where the system's does."""
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -6,7 +6,7 @@
 import math
 import re
 
-from gevent import Timeout
+from gevent import Timeout, sleep, socket
 
 from cypressledge.contract import Effect
 from cypressledge.core import Core, Fault, Query, Request, clock
@@ -78,6 +78,12 @@
         with Timeout(seconds, False):
             for client in list(self.clients):
                 client.writer.flushed.wait()
+            # Guards against the last answers being lost with the process: a socket that ends with bytes
+            # unread is reset. So only our side is closed, and what the clients still say is read.
+            for client in list(self.clients):
+                client.hang_up()
+            while self.clients:
+                sleep(0.01)
 
 
 class Client:
@@ -148,6 +154,13 @@
         whole = buffer.take(len(head) + 4 + size)
         return None if whole is None else whole[len(head) + 4:]
 
+    def hang_up(self) -> None:
+        """Say nothing more; the client closes in its turn."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            end(self.sock)
+
     def say(self, message: dict) -> None:
         """Queue one message."""
         raw = json.dumps(message, separators=(",", ":")).encode()
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -17,6 +17,8 @@
 UNSENT_MOST = 500_000  # µs a send may wait for its connection; then it is not sent at all
 STALE = 60_000_000  # µs that the id of a cancelled attempt bars its connection to a repeat
 IDLE_PART = 0.8  # of the site's idle time: we close first, so that no send crosses the engine's close
+SILENT_NOTES = 2.5  # intervals of notes without a word, from which a connection is not trusted any more
+SILENT_LEAST = 2_500_000  # µs; for sites whose engines send no notes or very frequent ones
 NOTES = {b"done": NoteKind.PROGRESS, b"spills": NoteKind.SPILLS, b"waits": NoteKind.WAITS}
 
 
@@ -41,8 +43,10 @@
 class LinesLink:
     """Connections to every engine, and which attempt rides on which."""
 
-    def __init__(self, core: Core, streams: int, connect_s: float, idle_s: float, most: int) -> None:
+    def __init__(self, core: Core, streams: int, connect_s: float, idle_s: float, most: int,
+                 notes_us: int = 0) -> None:
         self.core, self.streams, self.connect_s = core, streams, connect_s
+        self.silent = max(int(notes_us * SILENT_NOTES), SILENT_LEAST)
         self.idle, self.most = int(idle_s * IDLE_PART * 1e6), most
         self.connections: dict[int, list[Connection]] = {}
         core.counters.gauge("engine_connections", self.count)
@@ -73,9 +77,8 @@
 
     def terms(self, attempt: Attempt) -> None:
         """Tell the engine the new priority."""
-        if attempt.carrier is not None and attempt.carrier.sent and not attempt.carrier.pages:
-            attempt.carrier.connection.say(b"hurry %s %d" % (
-                attempt.carrier.word, attempt.request.priority))
+        if attempt.carrier is not None:
+            attempt.carrier.connection.hurry(attempt.carrier)
 
     def drop(self, connection: "Connection") -> None:
         """A connection is no more."""
@@ -90,7 +93,7 @@
         now = clock()
         for held in list(self.connections.values()):
             for connection in list(held):
-                unused = connection.place.id not in self.core.ready
+                unused = connection.place.id not in self.core.ready or connection.suspect()
                 if not connection.exchanges and (unused or now - connection.used > self.idle):
                     connection.close("idle")
 
@@ -105,6 +108,7 @@
         self.stale: dict[bytes, int] = {}
         self.order: deque[bytes] = deque()
         self.used = clock()
+        self.unheard = 0
         self.sock = self.writer = None
         self.closed = False
         self.greenlet = spawn(self._run)
@@ -116,9 +120,15 @@
         here may still be answered, so its repeat takes another connection."""
         while self.order and self.stale[self.order[0]] < clock() - STALE:
             del self.stale[self.order.popleft()]
-        return (not self.closed and len(self.exchanges) < self.link.streams and place == self.place
+        return (not self.closed and not self.suspect() and len(self.exchanges) < self.link.streams and place == self.place
                 and word not in self.exchanges and word not in self.stale)
 
+    def suspect(self) -> bool:
+        """Guards against a machine that vanished: its connections stay open without a word, also when it is
+        back. Whoever was sent something would have told at least a note by now; new work takes a new
+        connection, which proves within the connect time-out whether anybody is there."""
+        return 0 < self.unheard < clock() - self.link.silent
+
     def carry(self, attempt: Attempt, word: bytes) -> None:
         """Take the attempt; it goes out once the connection is up."""
         exchange = attempt.carrier = Exchange(attempt, self, word)
@@ -129,6 +139,12 @@
         else:
             self._want(exchange)
 
+    def hurry(self, exchange: Exchange) -> None:
+        """Pass a new priority on, behind the query itself."""
+        if self.writer is not None and not exchange.pages:
+            line = b"hurry %s %d\r\n" % (exchange.word, exchange.attempt.request.priority)
+            self.writer.put(line, live=lambda: exchange.sent and not exchange.dropped)
+
     def say(self, line: bytes) -> None:
         """A command that has no answer."""
         if self.writer is not None:
@@ -173,6 +189,7 @@
             self.core.ended(exchange.attempt, Outcome.MOOT)
             return False
         exchange.sent = True
+        self.unheard = self.unheard or clock()
         return True
 
     def _settle(self, exchange: Exchange) -> None:
@@ -224,6 +241,7 @@
             while buffer.fill(self.sock):
                 while self._message(buffer):
                     pass
+                self.unheard = clock() if self.exchanges else 0
         except OSError as err:
             why = f"reset by engine: {err}"
         except (BadLine, TooLong, ValueError) as err:
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -127,6 +127,19 @@
         self.assertEqual(content(client.get()), ROW)
         self.assertIsNot(engine.wants[0][0], engine.wants[1][0])
 
+    def test_connection_without_a_word_is_not_used_again(self):
+        """A machine that vanished leaves its connections open; back again, it knows nothing of them."""
+        def forgetful(engine, say, name, fields, statement):
+            if engine.wants[-1][0] is not engine.wants[0][0]:
+                whole(engine, say, name, fields, statement)
+
+        engine = self.engine(forgetful)
+        client = self.client(self.broker(engine))
+        client.ask(wait=2900)
+        self.assertIn("error", client.get())
+        client.ask()
+        self.assertEqual(content(client.get()), ROW)
+
     def test_engine_that_dies_resets_its_attempts_and_another_serves(self):
         first = self.engine(silent)
         second = self.engine(name="s-2")
