--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import itertools
+import re
 import time
 import traceback
 from collections import deque
@@ -22,6 +23,7 @@
 from cypressledge.control import WorkloadManager
 from cypressledge.counters import Counters, log
 
+ENGINE = re.compile(r"\bengine ([0-9a-f]+)\b")
 OVERDUE = 10_000  # µs after the client's time at which the ledger answers what the module did not
 OPEN_MOST = 4_000  # requests open at once; beyond, the memory limit is in danger: refused unseen
 HELD_MOST = 48 << 20  # bytes of statements held for them
@@ -168,8 +170,8 @@
         self.events: list[c.Event] = []
         self.do = {
             c.Send: self._send, c.SetTerms: self._terms, c.Cancel: self._cancel, c.Refuse: self._refuse,
-            c.Fail: self._fail, c.Timer: self._timer, c.Subscribe: lambda a: None,  # the directory is polled in any case
-            c.Log: lambda a: log(f"module: {a.text}"),
+            c.Fail: self._fail, c.Timer: self._timer, c.Log: self._log,
+            c.Subscribe: lambda a: None,  # the directory is polled in any case
         }
         counters.gauge("open_requests", lambda: len(self.requests))
         counters.gauge("ready_engines", lambda: len(self.ready))
@@ -389,6 +391,14 @@
     def _timer(self, a: c.Timer) -> None:
         self._at(self.last + a.after, self._fire, a.token)
 
+    def _log(self, a: c.Log) -> None:
+        """The module knows engines by number; whoever reads the log knows them by name."""
+        log("module: " + ENGINE.sub(self._named, a.text))
+
+    def _named(self, found: re.Match) -> str:
+        place = self.places.get(int(found[1], 16))
+        return f"engine {place.name}" if place else found[0]
+
     def _fire(self, token: int) -> None:
         self.events.append(c.TimerFired(token))
 
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -120,7 +120,8 @@
         here may still be answered, so its repeat takes another connection."""
         while self.order and self.stale[self.order[0]] < clock() - STALE:
             del self.stale[self.order.popleft()]
-        return (not self.closed and not self.suspect() and len(self.exchanges) < self.link.streams and place == self.place
+        usable = not self.closed and not self.suspect() and place == self.place
+        return (usable and len(self.exchanges) < self.link.streams
                 and word not in self.exchanges and word not in self.stale)
 
     def suspect(self) -> bool:
