--- a/cypressledge/net/buffer.py
+++ b/cypressledge/net/buffer.py
@@ -36,13 +36,13 @@
 class Buffer:
     """Unread bytes lie between `start` and `end` of one bytearray."""
 
-    __slots__ = ("data", "start", "end", "cap")
+    __slots__ = ("data", "start", "end", "cap", "first")
 
-    def __init__(self, cap: int) -> None:
-        self.data, self.start, self.end, self.cap = bytearray(FIRST), 0, 0, cap
+    def __init__(self, cap: int, first: int = FIRST) -> None:
+        self.data, self.start, self.end, self.cap, self.first = bytearray(first), 0, 0, cap, first
 
     def __del__(self) -> None:
-        GROWN.give(len(self.data) - FIRST)
+        GROWN.give(len(self.data) - self.first)
 
     def __len__(self) -> int:
         return self.end - self.start
@@ -99,5 +99,5 @@
         if self.start == self.end:
             self.start = self.end = 0
             if len(self.data) > LARGE:
-                GROWN.give(len(self.data) - FIRST)
-                self.data = bytearray(FIRST)
+                GROWN.give(len(self.data) - self.first)
+                self.data = bytearray(self.first)
--- a/cypressledge/net/clickhouse.py
+++ b/cypressledge/net/clickhouse.py
@@ -417,7 +417,7 @@
         self.sent = True
         with Timeout(max((self.attempt.until - clock()) / 1e6, 0.001)):
             self.sock.sendall(self._message(self._settings(), self.attempt.query.statement))
-        buffer = Buffer(READ_MOST)
+        buffer = Buffer(READ_MOST, first=READ_MOST)
         while not self.whole and not self.cancelled:
             if not buffer.fill(self.sock):
                 raise ConnectionResetError("closed before the end of the answer")
--- a/cypressledge/net/directory.py
+++ b/cypressledge/net/directory.py
@@ -78,34 +78,46 @@
     return int(config.get("offset", 0)), list(engines.values())
 
 
-class Directory:
-    """Polls the name server and tells the core of newer lists."""
+class Poller:
+    """Polls a name server for good; one that is out of reach or answers nonsense changes nothing."""
 
-    def __init__(self, core: Core, server: tuple[str, int], catalogue: Catalogue, serial: int) -> None:
-        self.core, self.server, self.catalogue, self.serial = core, server, catalogue, serial
-        self.name = dns.name.from_text(NAME)
-        self.last, self.reached = b"", True
+    def __init__(self, core: Core, server: tuple[str, int], catalogue: Catalogue, name: str) -> None:
+        self.core, self.server, self.catalogue, self.name = core, server, catalogue, name
+        self.reached = True
 
     def run(self) -> None:
-        """Poll for good; an unreachable directory changes nothing."""
+        """Poll, and log what changes about the server itself."""
         while True:
             began = clock()
             try:
-                self._poll()
+                self.poll()
                 self._reach(True)
             except (OSError, Timeout, dns.exception.DNSException, BadRecord, ValueError) as err:
-                self.core.counters.add("directory_failures")
+                self.core.counters.add(f"{self.name}_failures")
                 self._reach(False, err)
             sleep(max(PERIOD - (clock() - began) / 1e6, 0.05))
 
+    def poll(self) -> None:
+        """Ask once, and tell the core what is new."""
+        raise NotImplementedError
+
     def _reach(self, reached: bool, err: object = "") -> None:
         if reached != self.reached:
             self.reached = reached
-            log("directory: answers again" if reached else
-                f"directory: out of reach, the list is kept ({type(err).__name__} {err})")
+            log(f"{self.name}: answers again" if reached else
+                f"{self.name}: out of reach, the list is kept ({type(err).__name__} {err})")
+
+
+class Directory(Poller):
+    """The platform's directory: numbered lists."""
+
+    def __init__(self, core: Core, server: tuple[str, int], catalogue: Catalogue, serial: int) -> None:
+        super().__init__(core, server, catalogue, "directory")
+        self.serial, self.last = serial, b""
+        self.query_name = dns.name.from_text(NAME)
 
-    def _poll(self) -> None:
-        query = dns.message.make_query(self.name, dns.rdatatype.SRV)
+    def poll(self) -> None:
+        query = dns.message.make_query(self.query_name, dns.rdatatype.SRV)
         query.flags = 0
         raw = ask(query, self.server, PATIENCE)
         if raw[2:] == self.last:
@@ -117,7 +129,7 @@
         if serial < self.serial:
             self.core.counters.add("directory_older")
             return
-        engines = listed(answer, self.name)
+        engines = listed(answer, self.query_name)
         if serial > self.serial:
             self.serial = serial
             self.catalogue.tell(self.core, ListKind.FULL, engines)
--- a/cypressledge/net/dnssd.py
+++ b/cypressledge/net/dnssd.py
@@ -2,52 +2,31 @@
 
 from dataclasses import replace
 
-import dns.exception
 import dns.message
 import dns.name
-import dns.rcode
 import dns.rdatatype
-from gevent import Timeout, sleep
 
 from cypressledge.contract import ListKind, State
-from cypressledge.core import Core, clock
-from cypressledge.counters import log
-from cypressledge.net.directory import BadRecord, Catalogue, Listed, ask, checked, texts
+from cypressledge.core import Core
+from cypressledge.net.directory import PATIENCE, BadRecord, Catalogue, Listed, Poller, ask, checked, texts
 
-PERIOD = 0.5
-PATIENCE = 0.4
 STATES = {"ready": State.READY, "draining": State.DRAINING}
 
 
-class DnsSd:
-    """Browses one service type; an unreachable or faulty name server leaves the list as it was."""
+class DnsSd(Poller):
+    """Browses one service type."""
 
     def __init__(self, core: Core, server: tuple[str, int], service: str, catalogue: Catalogue) -> None:
-        self.core, self.server, self.catalogue = core, server, catalogue
+        super().__init__(core, server, catalogue, "dns-sd")
         self.service = dns.name.from_text(service)
         self.last: list[Listed] | None = None
-        self.reached = True
 
-    def run(self) -> None:
-        """Browse for good."""
-        while True:
-            began = clock()
-            try:
-                engines = sorted(self._browse(), key=lambda e: e.name)
-                if engines != self.last:
-                    self.last = engines
-                    self.catalogue.tell(self.core, ListKind.FULL, engines)
-                self._reach(True)
-            except (OSError, Timeout, dns.exception.DNSException, BadRecord, ValueError) as err:
-                self.core.counters.add("dnssd_failures")
-                self._reach(False, err)
-            sleep(max(PERIOD - (clock() - began) / 1e6, 0.05))
-
-    def _reach(self, reached: bool, err: object = "") -> None:
-        if reached != self.reached:
-            self.reached = reached
-            log("dns-sd: answers again" if reached else
-                f"dns-sd: out of reach, the list is kept ({type(err).__name__} {err})")
+    def poll(self) -> None:
+        """Browse once."""
+        engines = sorted(self._browse(), key=lambda e: e.name)
+        if engines != self.last:
+            self.last = engines
+            self.catalogue.tell(self.core, ListKind.FULL, engines)
 
     def _ask(self, name: dns.name.Name, kind) -> dns.message.Message:
         query = dns.message.make_query(name, kind, use_edns=True, payload=8192)
--- a/cypressledge/net/http.py
+++ b/cypressledge/net/http.py
@@ -11,9 +11,9 @@
 
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Budget, Buffer
-from cypressledge.net.stream import Listener, Writer, end
+from cypressledge.net.stream import Listener, Writer, end, fill
 
-READ_MOST = 256 << 10
+READ = 16 << 10  # bytes read at once; the parser takes them all
 HEAD_MOST = 64 << 10  # bytes of the target and all header fields
 WAITING_MOST = 4  # pipelined requests that wait on one connection
 BODIES = Budget(24 << 20)  # bytes of requests that are not handed on yet, on all connections
@@ -71,9 +71,9 @@
 
     def run(self) -> None:
         """Read until the client leaves; then whatever is open is nobody's any more."""
-        buffer = Buffer(READ_MOST)
+        buffer = Buffer(READ, first=READ)
         try:
-            while not self.closing and self._fill(buffer):
+            while not self.closing and fill(buffer, self.sock, IDLE, lambda: self.current is not None):
                 self.parser.feed_data(buffer.rest())
                 self._next()
         except TooLarge as err:
@@ -85,15 +85,6 @@
         finally:
             self._leave()
 
-    def _fill(self, buffer: Buffer) -> int:
-        while True:
-            try:
-                with Timeout(IDLE):
-                    return buffer.fill(self.sock)
-            except Timeout:
-                if self.current is None:
-                    return 0
-
     def _bad(self, status: int) -> None:
         """What can't be read ends the connection; an exchange under way keeps its own answer's form."""
         self.server.counters.add(f"{self.server.name}.bad_http")
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -12,7 +12,7 @@
 from cypressledge.core import Core, Fault, Query, Request, clock
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Buffer, TooLong
-from cypressledge.net.stream import Listener, Writer, end
+from cypressledge.net.stream import Listener, Writer, end, fill
 from cypressledge.sql import table_group
 
 HEAD_MOST = 1024
@@ -101,7 +101,7 @@
         """Read until the client leaves or framing is lost."""
         buffer = Buffer(FRAME_MOST + HEAD_MOST)
         try:
-            while self._fill(buffer):
+            while fill(buffer, self.sock, IDLE, lambda: bool(self.open)):
                 while (frame := self._frame(buffer)) is not None:
                     self._message(frame)
         except (BadFrame, TooLong) as err:
@@ -114,15 +114,6 @@
         finally:
             self._leave()
 
-    def _fill(self, buffer: Buffer) -> int:
-        while True:
-            try:
-                with Timeout(IDLE):
-                    return buffer.fill(self.sock)
-            except Timeout:
-                if not self.open:
-                    return 0
-
     def _gone(self, why: str) -> None:
         self.counters.add("clients_cut")
         end(self.sock)
--- a/cypressledge/net/stream.py
+++ b/cypressledge/net/stream.py
@@ -7,7 +7,7 @@
 from gevent.pool import Pool
 
 from cypressledge.counters import Counters
-from cypressledge.net.buffer import Budget
+from cypressledge.net.buffer import Budget, Buffer
 
 QUEUED = Budget(48 << 20)  # bytes that wait for slow peers, in the whole process
 LOW = 256 << 10  # queued bytes under which a stream may go on
@@ -127,6 +127,17 @@
         self.sock.close()
 
 
+def fill(buffer: Buffer, sock, idle: float, busy) -> int:
+    """Read once; 0 at the end of the connection, or after `idle` seconds in which nothing was open."""
+    while True:
+        try:
+            with Timeout(idle):
+                return buffer.fill(sock)
+        except Timeout:
+            if not busy():
+                return 0
+
+
 def tune(sock) -> None:
     """Small messages leave at once."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/stands.py
+++ b/tests/stands.py
@@ -337,6 +337,12 @@
         until(healthy, "a healthy broker")
         return self
 
+    def relist(self, serial):
+        """Give the directory's list a number, and wait until the broker has it."""
+        self.dns.serial = serial
+        asked = self.dns.asked
+        until(lambda: self.dns.asked > asked + 1, "the new list")
+
     def words(self):
         return Path(self.log.name).read_text()
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -148,9 +148,7 @@
         client.ask()
         until(lambda: first.wants, "the attempt")
         broker.dns.engines["s-2"] = (second.port, 0)
-        broker.dns.serial = 2
-        asked = broker.dns.asked
-        until(lambda: broker.dns.asked > asked + 1, "the new list")
+        broker.relist(2)
         first.close()
         self.assertEqual(content(client.get()), ROW)
 
@@ -206,13 +204,9 @@
         broker = self.broker(first, second)
         client = self.client(broker)
         broker.dns.engines["s-1"] = (first.port, 1)
-        broker.dns.serial = 7
-        asked = broker.dns.asked
-        until(lambda: broker.dns.asked > asked + 1, "the drain")
-        broker.dns.serial = 3  # an older list, which would bring s-1 back
+        broker.relist(7)
         broker.dns.engines["s-1"] = (first.port, 0)
-        asked = broker.dns.asked
-        until(lambda: broker.dns.asked > asked + 1, "the older list")
+        broker.relist(3)  # an older list, which would bring s-1 back
         for _ in range(20):
             client.ask()
             self.assertEqual(content(client.get()), ROW)
@@ -248,9 +242,7 @@
         client.get()
         del broker.dns.engines["s-1"]
         broker.dns.engines["s-9"] = (first.port, 0)
-        broker.dns.serial = 2
-        asked = broker.dns.asked
-        until(lambda: broker.dns.asked > asked + 1, "the new list")
+        broker.relist(2)
         client.ask()
         self.assertEqual(content(client.get()), ROW)
         self.assertIsNot(first.wants[0][0], first.wants[1][0])
