HTTP size limits keep their status; last words outlive unread bytes; loads are killed by id

Seen by a probe of the parser: what its callbacks raise comes wrapped (HttpParserCallbackError), so the limits of net/http.py all came out as 400 instead of 413 and 431. Connection.run unwraps them now. Read: closing behind an error with the client's bytes unread sends a reset that may overtake the error (HTTP and JSON-RPC bad framing): drain in net/stream.py. An engine's odd progress header ended its attempt's greenlet without an outcome (ChExchange.run): every attempt has an end now. wait_end_of_query was read and not heeded; database=default, which most clients send, was refused.

Tests: test_what_is_too_large_or_no_http, test_forms_of_http, test_load_whose_client_closes_is_killed_by_its_id.

--- a/cypressledge/net/clickhouse.py
+++ b/cypressledge/net/clickhouse.py
@@ -178,8 +178,9 @@
 
 def _check(r: HttpRequest) -> None:
     """Say plainly what this interface does not do, rather than leave it out silently."""
-    for name, value in r.params.items():
-        if name in UNSUPPORTED and value not in ("", "0") or name.startswith("param_"):
+    given = r.params | {"database": r.params.get("database") or r.headers.get("x-clickhouse-database", "")}
+    for name, value in given.items():
+        if name in UNSUPPORTED and value not in ("", "0", "default") or name.startswith("param_"):
             raise ChError(48, f"Parameter {name[:64]} is not supported")
         if name not in HEARD and name not in UNSUPPORTED:
             raise ChError(115, f"Unknown setting {name[:64]}")
@@ -222,7 +223,7 @@
 
     def __init__(self, front: ChFront, query: Query, tenant: Tenant, exchange: Exchange) -> None:
         self.front, self.query, self.tenant, self.exchange = front, query, tenant, exchange
-        self.streams = exchange.chunked
+        self.streams = exchange.chunked and exchange.request.params.get("wait_end_of_query", "0") == "0"
         self.request: Request | None = None
 
     def begin(self) -> None:
@@ -365,7 +366,7 @@
         """Send, read, report; exactly one word on the outcome unless cancelled."""
         try:
             outcome, fault = self._exchange()
-        except (OSError, Timeout, httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as err:
+        except (Exception, Timeout) as err:  # whatever an engine says, its attempt has an end
             self.core.counters.add("clickhouse.engine_breaks")
             outcome, fault = Outcome.RESET, Fault(f"engine connection broke: {type(err).__name__}", 210)
             if not self.sent:
--- a/cypressledge/net/http.py
+++ b/cypressledge/net/http.py
@@ -11,7 +11,7 @@
 
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Budget, Buffer
-from cypressledge.net.stream import Listener, Writer, end, fill
+from cypressledge.net.stream import Listener, Writer, drain, end, fill
 
 READ = 16 << 10  # bytes read at once; the parser takes them all
 HEAD_MOST = 64 << 10  # bytes of the target and all header fields
@@ -76,8 +76,10 @@
             while not self.closing and fill(buffer, self.sock, IDLE, lambda: self.current is not None):
                 self.parser.feed_data(buffer.rest())
                 self._next()
-        except TooLarge as err:
-            self._bad(int(str(err)))
+        except httptools.HttpParserCallbackError as err:
+            # The parser wraps what its callbacks raise: unwrapped, a size limit keeps its own status.
+            limit = err.__context__
+            self._bad(int(str(limit)) if isinstance(limit, TooLarge) else 400)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError):
             self._bad(400)
         except OSError:
@@ -92,6 +94,7 @@
             self.closing = True
             self.current = Exchange(self, HttpRequest(keep=False))
             self.current.answer(status, {}, HTTPStatus(status).phrase.encode() + b"\n")
+            drain(self.sock, self.writer)
 
     def _release(self, size: int) -> None:
         self.held -= size
@@ -172,9 +175,10 @@
         """The exchange is answered, whole or broken."""
         self.current = None
         if not keep:
-            self.closing = True
             self.writer.close()
-            self.writer.greenlet.link(lambda _: end(self.sock))
+            if not self.closing:
+                self.closing = True
+                self.writer.greenlet.link(lambda _: end(self.sock))
         else:
             self._next()
 
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -12,7 +12,7 @@
 from cypressledge.core import Core, Fault, Query, Request, clock
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Buffer, TooLong
-from cypressledge.net.stream import Listener, Writer, end, fill
+from cypressledge.net.stream import Listener, Writer, drain, end, fill
 from cypressledge.sql import table_group
 
 HEAD_MOST = 1024
@@ -107,8 +107,7 @@
         except (BadFrame, TooLong) as err:
             self.counters.add("bad_frames")
             self._error(None, INVALID, f"bad framing: {err}")
-            self.writer.close()
-            self.writer.greenlet.join(1.0)
+            drain(self.sock, self.writer)
         except OSError:
             pass
         finally:
--- a/cypressledge/net/stream.py
+++ b/cypressledge/net/stream.py
@@ -10,6 +10,7 @@
 from cypressledge.net.buffer import Budget, Buffer
 
 QUEUED = Budget(48 << 20)  # bytes that wait for slow peers, in the whole process
+DRAIN = 2.0  # seconds
 LOW = 256 << 10  # queued bytes under which a stream may go on
 
 
@@ -138,6 +139,21 @@
                 return 0
 
 
+def drain(sock, writer: Writer) -> None:
+    """Close our side behind the last words, and read on for a while.
+
+    Guards against the reset that closing with bytes unread would send: it may overtake the last words."""
+    writer.close()
+    with Timeout(DRAIN, False):
+        writer.greenlet.join()
+        try:
+            sock.shutdown(socket.SHUT_WR)
+            while sock.recv(65536):
+                pass
+        except OSError:
+            pass
+
+
 def tune(sock) -> None:
     """Small messages leave at once."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_clickhouse.py
+++ b/tests/test_clickhouse.py
@@ -4,6 +4,7 @@
 import hashlib
 import http.client
 import json
+import socket
 import threading
 import time
 from contextlib import closing
@@ -145,6 +146,43 @@
             with self.subTest(more or body):
                 self.assertEqual(self.code(body, **more), expected)
 
+    def raw(self, *parts):
+        """Bytes in, all bytes out."""
+        with closing(socket.create_connection(("127.0.0.1", self.port), WAIT)) as sock:
+            for part in parts:
+                sock.sendall(part)
+            return b"".join(iter(lambda: sock.recv(65536), b""))
+
+    def test_forms_of_http(self):
+        engine = self.engine(rows(ROW, page(1)), kind=ChEngine)
+        self.service(engine)
+        login = b"".join(f"{k}: {v}\r\n".encode() for k, v in LOGIN.items())
+        last = login + b"Connection: close\r\n"
+        got = self.raw(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s\r\n6\r\nSELECT\r\n" % login,
+                       b"2\r\n 1\r\n0\r\n\r\nGET /ping HTTP/1.1\r\n%s\r\n" % last)  # and one pipelined
+        self.assertEqual(engine.asked[0][1], b"SELECT 1")
+        self.assertEqual(got.count(b"HTTP/1.1 200 OK"), 2)
+        self.assertTrue(got.endswith(b"Ok.\n"), got)
+        whole = b"Content-Length: %d\r\n\r\n%s" % (len(ROW + page(1)), ROW + page(1))
+        for request in (b"GET /?query=SELECT+1 HTTP/1.0\r\n%s\r\n" % login,
+                        b"GET /?query=SELECT+1&wait_end_of_query=1 HTTP/1.1\r\n%s\r\n" % last):
+            got = self.raw(request)
+            self.assertIn(whole.split(b"\r\n")[0], got)
+            self.assertTrue(got.endswith(whole[-len(ROW):]))
+            self.assertNotIn(b"chunked", got)
+
+    def test_what_is_too_large_or_no_http(self):
+        """The parser wraps what its callbacks raise: once, every limit came out as 400."""
+        self.service(self.engine(kind=ChEngine))
+        for status, *parts in (
+            (413, b"POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n"),
+            (413, b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", *(
+                b"100000\r\n" + bytes(1 << 20) + b"\r\n" for _ in range(5))),
+            (431, b"GET /?" + b"x" * 70_000 + b" HTTP/1.1\r\n\r\n"), (400, b"nonsense\r\n\r\n"),
+        ):
+            with self.subTest(status):
+                self.assertTrue(self.raw(*parts).startswith(b"HTTP/1.1 %d " % status))
+
     def test_running_id_is_not_taken_twice(self):
         engine = self.engine(stalling, kind=ChEngine)
         self.service(engine)
@@ -197,6 +235,14 @@
         self.assertEqual((self.count("withdrawn"), len(engine.asked)), (1, 1))
         self.assertEqual(self.api("GET", "/v1/tenants/sales")[1]["open"], 0)
 
+    def test_load_whose_client_closes_is_killed_by_its_id(self):
+        engine = self.engine(stalling, kind=ChEngine)
+        self.service(engine)
+        conn = self.begin("/?query_id=load-7&workload=order-load&query=INSERT+INTO+sales_1.t+FORMAT+TSV")
+        until(lambda: engine.asked, "the attempt")
+        hang_up(conn.sock)
+        until(lambda: any(b"KILL QUERY WHERE query_id = 'load-7'" in said for _, said, _ in engine.asked))
+
     def test_after_the_first_byte_no_second_attempt_and_a_visibly_broken_stream(self):
         def tagged(engine, send, params, statement):
             send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
