--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -76,6 +76,7 @@
         s, limits = config.settings, config.settings["Limits"]
         settings = read_settings(json.dumps(s).encode())
         self.counters = Counters()
+        self.hello = f"{config.name}: listening on {config.listen[0]}:{config.listen[1]}"
         self.core = Core(settings, config.seed, self.counters, int(limits.get("MaxRetryAfter", 0)))
         lines = LinesLink(
             self.core, limits["StreamsPerConn"], limits["ConnectTimeout"] / 1e6, limits["ConnIdle"] / 1e6,
@@ -102,6 +103,7 @@
 
     def run(self) -> None:
         """Serve until told to stop; then answer all that was taken."""
+        log(f"{self.hello}, {len(self.core.ready)} engines ready")
         for part in map(gevent.spawn, self.parts):
             part.link_exception(self._broken)
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
