One flush for both fronts, one key pattern, settings read once, unused test parts gone

The guard for the last answers at exit (half-close, read on) stood in the JSON-RPC front only, while the HTTP fronts waited for their writers alone: flush in net/stream.py serves both now. KEY stood in both fronts; it is the core's. Engine names were hashed twice a list entry (Catalogue). The broker wrote its settings out as JSON to have them read again (settings_of takes what is read). In the tests: an unused stop, counter, parameter and import, and a second way to open a client.

--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -22,7 +22,7 @@
 from cypressledge.net.jsonrpc import Front
 from cypressledge.net.lines import LinesLink
 from cypressledge.service import Service, ServiceConfig, ServiceError, address, read_service
-from cypressledge.settings import SettingsError, read_settings
+from cypressledge.settings import SettingsError, settings_of
 from cypressledge.tenants import Tenants
 
 LINGER = 0.72  # seconds that a stopping broker goes on taking requests; what came later might meet SIGKILL
@@ -74,7 +74,7 @@
 
     def __init__(self, config: Config, service: ServiceConfig | None) -> None:
         s, limits = config.settings, config.settings["Limits"]
-        settings = read_settings(json.dumps(s).encode())
+        settings = settings_of(s)
         self.counters = Counters()
         self.hello = f"{config.name}: listening on {config.listen[0]}:{config.listen[1]}"
         self.core = Core(settings, config.seed, self.counters, int(limits.get("MaxRetryAfter", 0)))
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -23,6 +23,7 @@
 from cypressledge.control import WorkloadManager
 from cypressledge.counters import Counters, log
 
+KEY = re.compile(r"[!-+\--~]{1,128}\Z", re.A)  # a client's key: no commas or blanks, it may stand in a list
 ENGINE = re.compile(r"\bengine ([0-9a-f]+)\b")
 OVERDUE = 10_000  # µs after the client's time at which the ledger answers what the module did not
 OPEN_MOST = 4_000  # requests open at once; beyond, the memory limit is in danger: refused unseen
--- a/cypressledge/net/clickhouse.py
+++ b/cypressledge/net/clickhouse.py
@@ -13,7 +13,7 @@
 from gevent import Timeout, select, sleep, socket, spawn
 
 from cypressledge.contract import Effect, NoteKind, Outcome
-from cypressledge.core import LATE, Attempt, Core, Fault, Place, Query, Request, clock
+from cypressledge.core import KEY, LATE, Attempt, Core, Fault, Place, Query, Request, clock
 from cypressledge.net.buffer import Buffer
 from cypressledge.net.http import Exchange, HttpRequest, HttpServer
 from cypressledge.net.stream import end, tune
@@ -33,7 +33,6 @@
 BODY_MOST = 4 << 20
 OPEN_MOST = 512  # requests open at this front
 ID = re.compile(r"[!-~]{1,128}\Z", re.A)
-KEY = re.compile(r"[!-+\--~]{1,128}\Z", re.A)
 # Possessive, against statements made to backtrack: 20 comments in a row took 0.3 s, 40 would take days.
 FORMAT = re.compile(r"\bFORMAT\s++(\w++)\s*+(?:;\s*+)?\Z", re.I | re.A)
 WRITES = re.compile(r"(?:\s|--[^\n]*\n|(?>/\*.*?\*/))*+(?:insert|create|alter|drop|truncate|delete|update)\b",
--- a/cypressledge/net/directory.py
+++ b/cypressledge/net/directory.py
@@ -46,18 +46,16 @@
         self.zones = {name: i for i, name in enumerate(zones)}
         self.wire = wire
 
-    def entry(self, e: Listed) -> Entry:
-        """An engine as the module knows it."""
-        return Entry(stable(e.name), e.state, self.kinds.get(e.kind, 0), self.zones.get(e.zone, 0),
-                     e.cell, e.born_ms * 1000)
-
-    def place(self, e: Listed) -> Place:
-        """Where it listens."""
-        return Place(stable(e.name), e.name, (e.host, e.port), self.wire)
+    def pair(self, e: Listed) -> tuple[Entry, Place]:
+        """An engine as the module knows it, and where it listens."""
+        number = stable(e.name)
+        entry = Entry(number, e.state, self.kinds.get(e.kind, 0), self.zones.get(e.zone, 0),
+                      e.cell, e.born_ms * 1000)
+        return entry, Place(number, e.name, (e.host, e.port), self.wire)
 
     def tell(self, core: Core, kind: ListKind, engines: list[Listed]) -> None:
         """Hand the whole list to the core."""
-        core.listed(self.wire, kind, [(self.entry(e), self.place(e)) for e in engines])
+        core.listed(self.wire, kind, list(map(self.pair, engines)))
 
 
 def known(config: dict) -> tuple[int, list[Listed]]:
--- a/cypressledge/net/http.py
+++ b/cypressledge/net/http.py
@@ -7,11 +7,10 @@
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import httptools
-from gevent import Timeout
 
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Budget, Buffer
-from cypressledge.net.stream import Listener, Writer, drain, end, fill
+from cypressledge.net.stream import Listener, Writer, drain, end, fill, flush
 
 READ = 16 << 10  # bytes read at once; the parser takes them all
 HEAD_MOST = 64 << 10  # bytes of the target and all header fields
@@ -51,9 +50,7 @@
 
     def flush(self, seconds: float) -> None:
         """Let what was answered go out."""
-        with Timeout(seconds, False):
-            for connection in list(self.connections):
-                connection.writer.flushed.wait()
+        flush(self.connections, seconds)
 
 
 class Connection:
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -6,13 +6,11 @@
 import math
 import re
 
-from gevent import Timeout, sleep, socket
-
 from cypressledge.contract import Effect
-from cypressledge.core import Core, Fault, Query, Request, clock
+from cypressledge.core import KEY, Core, Fault, Query, Request, clock
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Buffer, TooLong
-from cypressledge.net.stream import Listener, Writer, drain, end, fill
+from cypressledge.net.stream import Listener, Writer, drain, end, fill, flush
 from cypressledge.sql import table_group
 
 HEAD_MOST = 1024
@@ -26,7 +24,6 @@
 FAILED = -32000
 PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
 ID = re.compile(r"[0-9a-f]{16}\Z", re.A)
-KEY = re.compile(r"[!-+\--~]{1,128}\Z", re.A)  # no commas and spaces: it goes into a list of fields
 
 
 class BadFrame(Exception):
@@ -75,15 +72,7 @@
 
     def flush(self, seconds: float) -> None:
         """Let every client's answers go out."""
-        with Timeout(seconds, False):
-            for client in list(self.clients):
-                client.writer.flushed.wait()
-            # Guards against the last answers being lost with the process: a socket that ends with bytes
-            # unread is reset. So only our side is closed, and what the clients still say is read.
-            for client in list(self.clients):
-                client.hang_up()
-            while self.clients:
-                sleep(0.01)
+        flush(self.clients, seconds)
 
 
 class Client:
@@ -144,13 +133,6 @@
         whole = buffer.take(len(head) + 4 + size)
         return None if whole is None else whole[len(head) + 4:]
 
-    def hang_up(self) -> None:
-        """Say nothing more; the client closes in its turn."""
-        try:
-            self.sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            end(self.sock)
-
     def say(self, message: dict) -> None:
         """Queue one message."""
         raw = json.dumps(message, separators=(",", ":")).encode()
--- a/cypressledge/net/stream.py
+++ b/cypressledge/net/stream.py
@@ -141,6 +141,23 @@
                 return 0
 
 
+def flush(connections: set, seconds: float) -> None:
+    """Let the last answers of all connections go out, and wait for the clients to close in their turn.
+
+    Guards against the last answers being lost with the process: a socket that ends with bytes unread is
+    reset. So only our side is closed, and what the clients still say is read by their own greenlets."""
+    with Timeout(seconds, False):
+        for connection in list(connections):
+            connection.writer.flushed.wait()
+        for connection in list(connections):
+            try:
+                connection.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                end(connection.sock)
+        while connections:
+            sleep(0.01)
+
+
 def drain(sock, writer: Writer) -> None:
     """Close our side behind the last words, and read on for a while.
 
--- a/cypressledge/settings.py
+++ b/cypressledge/settings.py
@@ -23,6 +23,11 @@
         s = json.loads(text)
     except json.JSONDecodeError as err:
         raise SettingsError(f"settings are not JSON: {err}") from None
+    return settings_of(s)
+
+
+def settings_of(s: dict) -> c.Settings:
+    """The same from JSON that is read already."""
     try:
         limits, rules, fam = s["Limits"], s["Rules"], s.get("FamilyInfo", {})
         threads = fam.get("ThreadsByClass", [])
--- a/tests/stands.py
+++ b/tests/stands.py
@@ -13,7 +13,6 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-import dns.flags
 import dns.message
 import dns.rrset
 
@@ -41,8 +40,8 @@
 }
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as s:
+def free_port():
+    with socket.socket() as s:
         s.bind(("127.0.0.1", 0))
         return s.getsockname()[1]
 
@@ -64,7 +63,6 @@
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.port = self.sock.getsockname()[1]
         self.open, self.lock = [], threading.Lock()
-        self.accepted = 0
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
@@ -75,7 +73,6 @@
                 return
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.open.append(conn)
-            self.accepted += 1
             threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
 
     def _serve(self, conn):
@@ -346,11 +343,6 @@
     def words(self):
         return Path(self.log.name).read_text()
 
-    def stop(self):
-        """Ask it to stop; return its exit code."""
-        self.process.terminate()
-        return self.process.wait(WAIT)
-
     def close(self):
         if self.process.poll() is None:
             self.process.kill()
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -161,7 +161,8 @@
 
 class Framing(Case):
     def setUp(self):
-        self.one = self.client(self.broker(self.engine()))
+        self.served = self.broker(self.engine())
+        self.one = self.client(self.served)
 
     def error(self, body):
         self.one.raw(body)
@@ -193,16 +194,11 @@
         for head in (b"Content-Length: x\r\n\r\n", b"Nothing: 1\r\n\r\n", b"Content-Length: 99999999\r\n\r\n",
                      b"no colon\r\n\r\n", b"y" * 5000):
             with self.subTest(head[:30]):
-                client = self.client_of(self.one)
+                client = self.client(self.served)
                 client.raw(b"", head)
                 self.assertEqual(client.get()["error"]["code"], -32600)
                 self.assertIsNone(client.get())
 
-    def client_of(self, other):
-        client = type(other)(other.sock.getpeername()[1])
-        self.addCleanup(client.close)
-        return client
-
 
 class Listing(Case):
     def test_drained_engine_gets_nothing_new_and_older_lists_are_ignored(self):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,13 +1,12 @@
 """The core's ledger alone, for what the module of today does not do but the ledger must stand."""
 
-import json
 import unittest
 
 from cypressledge import contract as c
 from cypressledge.core import LATE, Core, Place, Query, clock
 from cypressledge.counters import Counters
 from cypressledge.net.jsonrpc import Call
-from cypressledge.settings import read_settings
+from cypressledge.settings import settings_of
 from tests.stands import SETTINGS
 
 
@@ -25,7 +24,7 @@
 
 class Ledger(unittest.TestCase):
     def setUp(self):
-        self.core = Core(read_settings(json.dumps(SETTINGS).encode()), 1, Counters())
+        self.core = Core(settings_of(SETTINGS), 1, Counters())
         self.link, self.reply = Told(), Told()
         self.core.links["lines"] = self.link
         entry = c.Entry(7, c.State.READY, 0, 0, 0, 0)
