SIGHUP rereads the configuration; name servers are asked again within a poll

Now the file is read into one typed Config (config.py) and checked whole, then taken: dns, limits, known, tenants, settings of the module, and the service's file. Listener, ledger, connections and serial live on. A bad file, or one that names other classes or addresses, leaves the old one in force.

--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -6,100 +6,96 @@
 
 import argparse
 import gc
-import json
 import os
 import signal
 import sys
-from dataclasses import dataclass
+from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
 
+from cypressledge.config import Config, ConfigError, read_config
 from cypressledge.contract import ListKind
 from cypressledge.core import Core
 from cypressledge.counters import Counters, log
-from cypressledge.net.directory import Catalogue, Directory, known
+from cypressledge.net.directory import Catalogue, Directory
 from cypressledge.net.jsonrpc import Front
 from cypressledge.net.lines import LinesLink
-from cypressledge.service import Service, ServiceConfig, ServiceError, address, read_service
-from cypressledge.settings import SettingsError, settings_of
+from cypressledge.service import Service, ServiceConfig, read_service
 from cypressledge.tenants import Tenants
 
 LINGER = 0.72  # seconds that a stopping broker goes on taking requests; what came later might meet SIGKILL
 LAST_WORDS = 0.5  # seconds for the last answers to leave
 
 
-class ConfigError(Exception):
-    """The configuration can't be used."""
-
-
-@dataclass(frozen=True, slots=True)
-class Config:
-    """What a broker is told at its start."""
-
-    name: str
-    listen: tuple[str, int]
-    dns: tuple[str, int] | None
-    seed: int
-    sockets: int
-    known: dict
-    settings: dict
-
-
-def read_config(env) -> Config:
-    """The configuration named by the environment."""
-    path = env.get("ROUTER_CONFIG")
-    if not path:
-        raise ConfigError("ROUTER_CONFIG is not set")
-    try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-        seed = raw["seed"]
-        return Config(
-            name=env.get("ROUTER_NAME") or raw["name"],
-            listen=address(env.get("ROUTER_LISTEN") or raw["listen"]),
-            dns=address(raw["dns"]) if raw.get("dns") else None,
-            seed=int(seed, 16) if isinstance(seed, str) else int(seed),
-            sockets=int(raw["limits"]["sockets"]), known=raw["known"], settings=raw["settings"])
-    except OSError as err:
-        raise ConfigError(f"{path}: {err.strerror}") from None
-    except KeyError as err:
-        raise ConfigError(f"{path} lacks {err}") from None
-    except (TypeError, ValueError, AttributeError) as err:
-        raise ConfigError(f"{path}: {err}") from None
-
-
 class Broker:
     """All parts of one broker."""
 
-    def __init__(self, config: Config, service: ServiceConfig | None) -> None:
-        s, limits = config.settings, config.settings["Limits"]
-        settings = settings_of(s)
+    def __init__(self, read: Callable[[], tuple[Config, ServiceConfig | None]]) -> None:
+        self.read = read
+        config, service = read()
+        self.config = config
         self.counters = Counters()
         self.hello = f"{config.name}: listening on {config.listen[0]}:{config.listen[1]}"
-        self.core = Core(settings, config.seed, self.counters, int(limits.get("MaxRetryAfter", 0)))
-        lines = LinesLink(
-            self.core, limits["StreamsPerConn"], limits["ConnectTimeout"] / 1e6, limits["ConnIdle"] / 1e6,
-            most=config.sockets // 4, notes_us=int(s.get("FamilyInfo", {}).get("TellsEvery", 0)))
-        self.core.links["lines"] = lines
-        tenants = Tenants([t["Name"] for t in s.get("Customers", ())])
-        self.front = Front(self.core, config.listen, [k["Name"] for k in s["Classes"]], tenants,
-                           self.counters, most=config.sockets * 2 // 5)
-        self.fronts, self.links = [self.front], [lines]
+        self.core = Core(config.settings, config.seed, self.counters)
+        self.lines = self.core.links["lines"] = LinesLink(self.core, config.limits)
+        self.tenants = Tenants()
+        self.front = Front(self.core, config.listen, config.classes, self.tenants, self.counters)
+        self.fronts, self.links = [self.front], [self.lines]
         self.parts = [self.core.run, self.front.listener.run, self._tend]
-        self._list(config, Catalogue(s["Skus"], s["Dcs"], "lines"))
+        self.catalogue = Catalogue(config.kinds, config.zones, "lines")
+        self.catalogue.tell(self.core, ListKind.CACHED, config.engines)
+        self.directory = Directory(self.core, config.dns, self.catalogue, config.serial)
+        self.parts.append(self.directory.run)
+        self.service = None
         if service is not None:
-            hosted = Service(service, self.core, s, tenants, config.sockets)
-            self.fronts.append(hosted)
-            self.links.append(hosted.link)
-            self.parts += hosted.parts
+            self.service = Service(service, self.core, config, self.tenants)
+            self.fronts.append(self.service)
+            self.links.append(self.service.link)
+            self.parts += self.service.parts
+        self._limit(config)
         self.stopping = Event()
 
-    def _list(self, config: Config, catalogue: Catalogue) -> None:
-        serial, engines = known(config.known)
-        catalogue.tell(self.core, ListKind.CACHED, engines)
-        if config.dns is not None:
-            self.parts.append(Directory(self.core, config.dns, catalogue, serial).run)
+    def _limit(self, config: Config) -> None:
+        """Take what the configuration allows; at the start and at each reload."""
+        limits = config.limits
+        self.core.after_most = limits.after_most
+        self.lines.limits = limits
+        self.tenants.fixed = config.tenants
+        self.front.listener.most = limits.sockets * 2 // 5
+        if self.service is not None:
+            self.service.limit(limits)
+
+    def reload(self) -> None:
+        """Take the configuration as its file is now. Guards against a bad file, or one that names what only
+        a restart can change: the old configuration stays in force, whole. The listener, the ledger,
+        connections and the directory's serial live on."""
+        try:
+            config, service = self.read()
+            self._check(config, service)
+        except ConfigError as err:
+            self.counters.add("reload_failures")
+            log(f"reload: the old configuration stays in force: {err}")
+            return
+        self.config = config
+        self._limit(config)
+        self.core.reconfigure(config.settings)
+        self.catalogue.name(config.kinds, config.zones)
+        self.directory.update(config.serial, config.engines)
+        self.directory.move(config.dns)
+        if self.service is not None:
+            self.service.reload(service, config)
+        self.counters.add("reloads")
+        log("reload: the new configuration is in force")
+
+    def _check(self, config: Config, service: ServiceConfig | None) -> None:
+        """Whether this can be taken without a restart."""
+        if config.classes != self.config.classes:
+            raise ConfigError("other classes need a restart")
+        if config.listen != self.config.listen:
+            raise ConfigError("another address to listen on needs a restart")
+        if self.service is not None:
+            self.service.check(service)
 
     def run(self) -> None:
         """Serve until told to stop; then answer all that was taken."""
@@ -108,6 +104,7 @@
             part.link_exception(self._broken)
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
         gevent.signal_handler(signal.SIGINT, self.stopping.set)
+        gevent.signal_handler(signal.SIGHUP, self.reload)
         gevent.signal_handler(signal.SIGUSR1, self.counters.print, "asked")
         self.stopping.wait()
         log("stopping: no longer healthy, still serving")
@@ -140,11 +137,7 @@
     parser.add_argument("--service", metavar="FILE", help="settings of the hosted service's front")
     file = parser.parse_args(args).service
     try:
-        return Broker(read_config(env), read_service(file, env) if file else None)
-    except KeyError as err:
-        raise ConfigError(f"configuration lacks {err}") from None
-    except (TypeError, ValueError, AttributeError) as err:
-        raise ConfigError(f"configuration of the wrong form: {err}") from None
+        return Broker(lambda: (read_config(env), read_service(file, env) if file else None))
     except OSError as err:
         raise ConfigError(f"cannot listen: {err}") from None
 
@@ -153,7 +146,7 @@
     """Run one broker; a bad configuration is one plain line."""
     try:
         broker = assemble(sys.argv[1:], os.environ)
-    except (ConfigError, ServiceError, SettingsError) as err:
+    except ConfigError as err:
         log(f"cypressledge: {err}")
         return 2
     gc.collect()
--- /dev/null
+++ b/cypressledge/config.py
@@ -0,0 +1,95 @@
+"""What a broker is told by its configuration file, read whole at the start and again at SIGHUP."""
+
+import json
+from dataclasses import dataclass
+
+from cypressledge import contract as c
+from cypressledge.net.directory import Listed, known
+from cypressledge.settings import SettingsError, settings_of
+
+MEMORY_MB = 192  # where the configuration names no limit
+
+
+class ConfigError(Exception):
+    """The configuration can't be used."""
+
+
+def address(text: object) -> tuple[str, int]:
+    """HOST:PORT as a pair."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not colon or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"no HOST:PORT: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the deployment allows this process and its connections."""
+
+    sockets: int
+    memory_mb: int
+    streams: int
+    connect_s: float
+    idle_s: float
+    after_most: int
+    notes_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that the file says, in the broker's terms: whatever can be wrong with it has been found by now."""
+
+    name: str
+    listen: tuple[str, int]
+    dns: tuple[str, int] | None
+    seed: int
+    limits: Limits
+    settings: c.Settings
+    classes: tuple[str, ...]
+    kinds: tuple[str, ...]
+    zones: tuple[str, ...]
+    tenants: frozenset[str]
+    serial: int
+    engines: tuple[Listed, ...]
+
+
+def read_config(env) -> Config:
+    """The configuration named by the environment."""
+    path = env.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            return _config(json.load(file), env)
+    except OSError as err:
+        raise ConfigError(f"{path}: {err.strerror}") from None
+    except KeyError as err:
+        raise ConfigError(f"{path} lacks {err}") from None
+    except (SettingsError, TypeError, ValueError, AttributeError, RecursionError) as err:
+        raise ConfigError(f"{path}: {err}") from None
+
+
+def _config(raw: dict, env) -> Config:
+    s, seed = raw["settings"], raw["seed"]
+    limits = _limits(raw["limits"], s)
+    serial, engines = known(raw["known"])
+    return Config(
+        name=env.get("ROUTER_NAME") or raw["name"],
+        listen=address(env.get("ROUTER_LISTEN") or raw["listen"]),
+        dns=address(raw["dns"]) if raw.get("dns") else None,
+        seed=int(seed, 16) if isinstance(seed, str) else int(seed),
+        limits=limits, settings=settings_of(s), classes=tuple(k["Name"] for k in s["Classes"]),
+        kinds=tuple(s["Skus"]), zones=tuple(s["Dcs"]),
+        tenants=frozenset(t["Name"] for t in s.get("Customers", ())), serial=serial, engines=tuple(engines))
+
+
+def _limits(raw: dict, s: dict) -> Limits:
+    site = s["Limits"]
+    limits = Limits(
+        sockets=int(raw["sockets"]), memory_mb=int(raw.get("memory_mb", MEMORY_MB)),
+        streams=int(site["StreamsPerConn"]), connect_s=site["ConnectTimeout"] / 1e6,
+        idle_s=site["ConnIdle"] / 1e6, after_most=int(site.get("MaxRetryAfter", 0)),
+        notes_us=int(s.get("FamilyInfo", {}).get("TellsEvery", 0)))
+    if min(limits.sockets, limits.memory_mb, limits.streams, limits.connect_s, limits.idle_s) <= 0:
+        raise ValueError("a limit is not above 0")
+    return limits
--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -89,15 +89,14 @@
     """The decisions of one gateway: `handle` takes what happened and returns what to do."""
 
     def __init__(self, settings: Settings, seed: int):
-        self.s = settings
+        self.configure(settings)
         self.rng = random.Random(seed)
         n = len(settings.classes)
         self.now, self.acts, self.seq, self.count = 0, [], 0, 0
         self.engines: dict[int, Engine] = {}
         self.order: list[Engine] = []
         self.requests: dict[int, Request] = {}
-        self.queues = [[] for _ in range(n)]
-        self.overdue = [[] for _ in range(n)]
+        self.queues, self.overdue = [[] for _ in range(n)], [[] for _ in range(n)]
         self.dues, self.rests = [], []
         self.keys: dict[int, deque[Request]] = {}
         self.rest_until: dict[int, int] = {}
@@ -105,13 +104,8 @@
         self.odds = [1.0 / n] * n
         self.waits, self.samples = [0.0] * n, [0] * n
         self.cost_ratio, self.need_ratio, self.mean_need = [1.0] * n, [1.25] * n, [1.0] * n
-        self.usual = [0.0] * n
-        self.class_slow = [1.0] * n
+        self.usual, self.class_slow = [0.0] * n, [1.0] * n
         self.taken, self.extra = deque(), deque()
-        self.bound_kinds = frozenset().union(*(k.only_kinds or () for k in settings.classes))
-        self.bound_zones = frozenset().union(*(k.only_zones or () for k in settings.classes))
-        self.least = min(k.threads for k in settings.classes)
-        self.widest = max(k.threads for k in settings.classes)
         self.next_period = self.next_sweep = self.wake_at = 0
         self.threads, self.needs = 0, 0.0
         self.lat_sum = self.run_sum = self.big_need = self.mean_run = 0.0
@@ -124,6 +118,13 @@
             ClientLeft: self._left, TimerFired: self._timer, Probed: lambda event: None,
         }
 
+    def configure(self, settings: Settings) -> None:
+        """Take the settings, again where they change; the classes stay the same."""
+        self.s, classes = settings, settings.classes
+        self.bound_kinds = frozenset().union(*(k.only_kinds or () for k in classes))
+        self.bound_zones = frozenset().union(*(k.only_zones or () for k in classes))
+        self.least, self.widest = min(k.threads for k in classes), max(k.threads for k in classes)
+
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment; return the actions in order."""
         self.now, self.acts = now, []
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -152,10 +152,10 @@
 class Core:
     """The ledger, and the one greenlet that runs the module."""
 
-    def __init__(self, settings: c.Settings, seed: int, counters: Counters, after: int = 0) -> None:
+    def __init__(self, settings: c.Settings, seed: int, counters: Counters) -> None:
         self.settings, self.counters = settings, counters
         self.manager = WorkloadManager(settings, seed)
-        self.after_most = after
+        self.after_most = 0
         self.links: dict[str, Link] = {}
         self.places: dict[int, Place] = {}
         self.lists: dict[str, list[tuple[c.Entry, Place]]] = {}
@@ -218,6 +218,10 @@
         self.ready = {e.engine for e, _ in whole if e.state is c.State.READY}
         self._post(self._listed, kind, whole)
 
+    def reconfigure(self, settings: c.Settings) -> None:
+        """The site's settings have changed; the classes are the same."""
+        self._post(self._reconfigured, settings)
+
     def serving(self) -> bool:
         """The broker can serve, and goes on doing so: it knows of a ready engine."""
         return not self.stopping and bool(self.ready)
@@ -272,6 +276,10 @@
 
     # What came in
 
+    def _reconfigured(self, settings: c.Settings) -> None:
+        self.settings = settings
+        self.manager.configure(settings)
+
     def _taken(self, request: Request) -> None:
         if request.over:
             return
--- a/cypressledge/net/admin.py
+++ b/cypressledge/net/admin.py
@@ -23,9 +23,10 @@
 class Admin:
     """Answers `/v1/tenants`, `/v1/tenants/NAME`, `/v1/engines`, `/v1/counters` to whoever holds the token."""
 
-    def __init__(self, core: Core, listen: tuple[str, int], token: str, tenants: Tenants) -> None:
-        self.core, self.token, self.tenants = core, token, tenants
-        self.server = HttpServer(listen, CONNECTIONS_MOST, core.counters, "admin", BODY_MOST, self._handle)
+    def __init__(self, core: Core, listen: tuple[str, int], tenants: Tenants) -> None:
+        self.core, self.token, self.tenants = core, "", tenants
+        self.server = HttpServer(listen, core.counters, "admin", BODY_MOST, self._handle)
+        self.server.listener.most = CONNECTIONS_MOST
 
     def _handle(self, request: HttpRequest, exchange: Exchange) -> None:
         try:
--- a/cypressledge/net/clickhouse.py
+++ b/cypressledge/net/clickhouse.py
@@ -12,6 +12,7 @@
 import httptools
 from gevent import Timeout, select, sleep, socket, spawn
 
+from cypressledge.config import Limits
 from cypressledge.contract import Effect, NoteKind, Outcome
 from cypressledge.core import KEY, LATE, Attempt, Core, Fault, Place, Query, Request, clock
 from cypressledge.net.buffer import Buffer
@@ -29,7 +30,6 @@
     516: ("AUTHENTICATION_FAILED", 403),
 }
 ROWS = {"Content-Type": "text/tab-separated-values; charset=UTF-8", "X-ClickHouse-Format": "TabSeparated"}
-CLIENTS_MOST = 128
 BODY_MOST = 4 << 20
 OPEN_MOST = 512  # requests open at this front
 ID = re.compile(r"[!-~]{1,128}\Z", re.A)
@@ -71,12 +71,13 @@
 class ChFront:
     """Takes queries over HTTP into the core."""
 
-    def __init__(self, core: Core, listen: tuple[str, int], classes: list[str], tenants: Tenants) -> None:
+    def __init__(self, core: Core, listen: tuple[str, int], classes: tuple[str, ...],
+                 tenants: Tenants) -> None:
         self.core, self.tenants, self.counters = core, tenants, core.counters
         self.names = classes
         self.classes = {name: i for i, name in enumerate(classes)}
         self.open: set[str] = set()
-        self.server = HttpServer(listen, CLIENTS_MOST, self.counters, "clickhouse", BODY_MOST, self._handle)
+        self.server = HttpServer(listen, self.counters, "clickhouse", BODY_MOST, self._handle)
 
     def _handle(self, request: HttpRequest, exchange: Exchange) -> None:
         try:
@@ -285,16 +286,19 @@
 class ChLink:
     """Connections to engines that speak the HTTP interface: one exchange at a time on each."""
 
-    def __init__(self, core: Core, connect_s: float, idle_s: float, most: int, user: str, key: str) -> None:
-        self.core, self.connect_s, self.idle, self.most = core, connect_s, int(idle_s * 1e6), most
-        self.login = f"X-ClickHouse-User: {user}\r\nX-ClickHouse-Key: {key}\r\n" if user else ""
+    def __init__(self, core: Core, limits: Limits) -> None:
+        self.core, self.limits, self.headers = core, limits, ""
         self.free: dict[Place, deque[tuple[object, int]]] = {}
         self.held = 0
         core.counters.gauge("clickhouse.engine_connections", lambda: self.held)
 
+    def login(self, user: str, key: str) -> None:
+        """What the broker calls itself at the engines."""
+        self.headers = f"X-ClickHouse-User: {user}\r\nX-ClickHouse-Key: {key}\r\n" if user else ""
+
     def send(self, attempt: Attempt) -> None:
         """Run the attempt in a greenlet of its own."""
-        if self.held >= self.most:
+        if self.held >= self.limits.sockets // 4:
             self.core.counters.add("moot_sends")
             self.core.ended(attempt, Outcome.MOOT)
             return
@@ -323,7 +327,7 @@
         """A new connection."""
         self.held += 1
         try:
-            with Timeout(self.connect_s):
+            with Timeout(self.limits.connect_s):
                 sock = socket.create_connection(place.address)
         except BaseException:
             self.held -= 1
@@ -343,7 +347,7 @@
 
     def tend(self) -> None:
         """Close what has been idle for long or leads to an engine that takes nothing new."""
-        limit = clock() - self.idle
+        limit = clock() - int(self.limits.idle_s * 1e6)
         for place, kept in list(self.free.items()):
             while kept and (kept[0][1] < limit or place.id not in self.core.ready):
                 self.close(kept.popleft()[0])
@@ -401,7 +405,7 @@
         except (OSError, Timeout):
             return
         try:
-            with Timeout(self.link.connect_s):
+            with Timeout(self.link.limits.connect_s):
                 sock.sendall(self._message({}, query.encode()))
                 sock.recv(4096)
             self.core.counters.add("clickhouse.kills")
@@ -449,7 +453,7 @@
 
     def _message(self, settings: dict[str, str], statement: bytes) -> bytes:
         host, port = self.attempt.place.address
-        head = (f"POST /?{urlencode(settings)} HTTP/1.1\r\nHost: {host}:{port}\r\n{self.link.login}"
+        head = (f"POST /?{urlencode(settings)} HTTP/1.1\r\nHost: {host}:{port}\r\n{self.link.headers}"
                 f"Content-Length: {len(statement)}\r\n\r\n")
         return head.encode() + statement
 
--- a/cypressledge/net/directory.py
+++ b/cypressledge/net/directory.py
@@ -1,5 +1,6 @@
 """The directory: the list of the start, and its changes polled from SRV records over UDP."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 import dns.exception
@@ -8,7 +9,8 @@
 import dns.name
 import dns.rcode
 import dns.rdatatype
-from gevent import Timeout, sleep, socket
+from gevent import Timeout, socket
+from gevent.event import Event
 
 from cypressledge.contract import Entry, ListKind, State
 from cypressledge.core import Core, Place, clock, stable
@@ -16,7 +18,9 @@
 
 NAME = "_app._tcp.cluster.lan"
 PERIOD = 0.4  # seconds between polls: what an answer holds counts as told, so it must not wait for long
-PATIENCE = 0.35  # seconds for one answer
+ASKS = (0.1, 0.1, 0.15)  # seconds for a good answer, from the first ask of a poll and from each repeat of it
+SPOILT = 0.02  # seconds in which a good answer may follow a bad one, before asking again
+MISSED = 3  # polls in a row without a good answer, from which the server is called out of reach
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 
 
@@ -41,10 +45,14 @@
 class Catalogue:
     """Turns lists into the module's entries, under the settings' numbers for kinds and zones."""
 
-    def __init__(self, kinds: list[str], zones: list[str], wire: str) -> None:
+    def __init__(self, kinds: tuple[str, ...], zones: tuple[str, ...], wire: str) -> None:
+        self.wire = wire
+        self.name(kinds, zones)
+
+    def name(self, kinds: tuple[str, ...], zones: tuple[str, ...]) -> None:
+        """Take the settings' names."""
         self.kinds = {name: i for i, name in enumerate(kinds)}
         self.zones = {name: i for i, name in enumerate(zones)}
-        self.wire = wire
 
     def pair(self, e: Listed) -> tuple[Entry, Place]:
         """An engine as the module knows it, and where it listens."""
@@ -53,7 +61,7 @@
                       e.cell, e.born_ms * 1000)
         return entry, Place(number, e.name, (e.host, e.port), self.wire)
 
-    def tell(self, core: Core, kind: ListKind, engines: list[Listed]) -> None:
+    def tell(self, core: Core, kind: ListKind, engines: Iterable[Listed]) -> None:
         """Hand the whole list to the core."""
         core.listed(self.wire, kind, list(map(self.pair, engines)))
 
@@ -79,37 +87,82 @@
 class Poller:
     """Polls a name server for good; one that is out of reach or answers nonsense changes nothing."""
 
-    def __init__(self, core: Core, server: tuple[str, int], catalogue: Catalogue, name: str) -> None:
+    def __init__(self, core: Core, server: tuple[str, int] | None, catalogue: Catalogue, name: str) -> None:
         self.core, self.server, self.catalogue, self.name = core, server, catalogue, name
-        self.reached = True
+        self.missed = 0
+        self.moved = Event()
 
     def run(self) -> None:
         """Poll, and log what changes about the server itself."""
         while True:
             began = clock()
+            self.moved.clear()
+            if self.server is None:
+                self.moved.wait()
+                continue
             try:
                 self.poll()
-                self._reach(True)
-            except (OSError, Timeout, dns.exception.DNSException, BadRecord, ValueError) as err:
-                self.core.counters.add(f"{self.name}_failures")
-                self._reach(False, err)
-            sleep(max(PERIOD - (clock() - began) / 1e6, 0.05))
+                self._reached()
+            except (OSError, dns.exception.DNSException, BadRecord, ValueError) as err:
+                self._missed(err)
+            self.moved.wait(max(PERIOD - (clock() - began) / 1e6, 0.05))
+
+    def move(self, server: tuple[str, int] | None) -> None:
+        """Ask another server from now on, the first time at once."""
+        if server != self.server:
+            log(f"{self.name}: now asking {'%s:%d' % server if server else 'nobody'}")
+            self.server, self.missed = server, 0
+            self.moved.set()
 
     def poll(self) -> None:
         """Ask once, and tell the core what is new."""
         raise NotImplementedError
 
-    def _reach(self, reached: bool, err: object = "") -> None:
-        if reached != self.reached:
-            self.reached = reached
-            log(f"{self.name}: answers again" if reached else
-                f"{self.name}: out of reach, the list is kept ({type(err).__name__} {err})")
+    def ask(self, query: dns.message.Message, read):
+        """What `read` makes of the first good answer; it raises on a bad one.
+
+        Guards against answers that are lost, spoilt, old or under another id: the question is repeated well
+        within the poll, and a good answer counts also behind a bad one or late behind its repeat."""
+        wire, server, fault = query.to_wire(), self.server, BadRecord("no answer")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.connect(server)
+            for patience in ASKS:
+                if self.server != server:
+                    break  # moved meanwhile: the next poll asks the new one
+                sock.send(wire)
+                until = clock() + int(patience * 1e6)
+                while (raw := _answer(sock, until)) is not None:
+                    try:
+                        if raw[:2] == wire[:2]:
+                            return read(raw)
+                    except (dns.exception.DNSException, BadRecord, ValueError) as err:
+                        fault, until = err, min(until, clock() + int(SPOILT * 1e6))
+                        self.core.counters.add(f"{self.name}_spoilt")
+        raise fault
+
+    def _reached(self) -> None:
+        if self.missed >= MISSED:
+            log(f"{self.name}: answers again")
+        self.missed = 0
+
+    def _missed(self, err: Exception) -> None:
+        self.core.counters.add(f"{self.name}_failures")
+        self.missed += 1
+        if self.missed == MISSED:
+            log(f"{self.name}: out of reach, the list is kept ({type(err).__name__} {err})")
+
+
+def _answer(sock, until: int) -> bytes | None:
+    """The next datagram, whatever it holds; None if none came in time."""
+    with Timeout(max(until - clock(), 1000) / 1e6, False):
+        return sock.recv(65535)
+    return None
 
 
 class Directory(Poller):
     """The platform's directory: numbered lists."""
 
-    def __init__(self, core: Core, server: tuple[str, int], catalogue: Catalogue, serial: int) -> None:
+    def __init__(self, core: Core, server: tuple[str, int] | None, catalogue: Catalogue, serial: int) -> None:
         super().__init__(core, server, catalogue, "directory")
         self.serial, self.last = serial, b""
         self.query_name = dns.name.from_text(NAME)
@@ -117,7 +170,9 @@
     def poll(self) -> None:
         query = dns.message.make_query(self.query_name, dns.rdatatype.SRV)
         query.flags = 0
-        raw = ask(query, self.server, PATIENCE)
+        self.ask(query, lambda raw: self._read(query, raw))
+
+    def _read(self, query: dns.message.Message, raw: bytes) -> None:
         if raw[2:] == self.last:
             return
         answer = checked(query, raw)
@@ -126,24 +181,16 @@
             raise BadRecord("no serial")
         if serial < self.serial:
             self.core.counters.add("directory_older")
-            return
+            raise BadRecord(f"list {serial} is older than {self.serial}")
         engines = listed(answer, self.query_name)
+        self.update(serial, engines)
+        self.last = raw[2:]
+
+    def update(self, serial: int, engines: Iterable[Listed]) -> None:
+        """Take a whole list, if it is newer than what is held."""
         if serial > self.serial:
             self.serial = serial
             self.catalogue.tell(self.core, ListKind.FULL, engines)
-        self.last = raw[2:]
-
-
-def ask(query: dns.message.Message, server: tuple[str, int], patience: float) -> bytes:
-    """Send a query from a port of its own; the first answer that carries its number."""
-    wire = query.to_wire()
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock, Timeout(patience):
-        sock.connect(server)
-        sock.send(wire)
-        while True:
-            raw = sock.recv(65535)
-            if raw[:2] == wire[:2]:
-                return raw
 
 
 def checked(query: dns.message.Message, raw: bytes) -> dns.message.Message:
--- a/cypressledge/net/dnssd.py
+++ b/cypressledge/net/dnssd.py
@@ -8,7 +8,7 @@
 
 from cypressledge.contract import ListKind, State
 from cypressledge.core import Core
-from cypressledge.net.directory import PATIENCE, BadRecord, Catalogue, Listed, Poller, ask, checked, texts
+from cypressledge.net.directory import BadRecord, Catalogue, Listed, Poller, checked, texts
 
 STATES = {"ready": State.READY, "draining": State.DRAINING}
 
@@ -16,10 +16,16 @@
 class DnsSd(Poller):
     """Browses one service type."""
 
-    def __init__(self, core: Core, server: tuple[str, int], service: str, catalogue: Catalogue) -> None:
+    def __init__(self, core: Core, server: tuple[str, int] | None, service: str,
+                 catalogue: Catalogue) -> None:
         super().__init__(core, server, catalogue, "dns-sd")
-        self.service = dns.name.from_text(service)
         self.last: list[Listed] | None = None
+        self.browse(server, service)
+
+    def browse(self, server: tuple[str, int] | None, service: str) -> None:
+        """Browse for this type at that server from now on."""
+        self.service = dns.name.from_text(service)
+        self.move(server)
 
     def poll(self) -> None:
         """Browse once."""
@@ -30,7 +36,7 @@
 
     def _ask(self, name: dns.name.Name, kind) -> dns.message.Message:
         query = dns.message.make_query(name, kind, use_edns=True, payload=8192)
-        return checked(query, ask(query, self.server, PATIENCE))
+        return self.ask(query, lambda raw: checked(query, raw))
 
     def _browse(self) -> list[Listed]:
         answer = self._ask(self.service, dns.rdatatype.PTR)
--- a/cypressledge/net/http.py
+++ b/cypressledge/net/http.py
@@ -42,11 +42,11 @@
 class HttpServer:
     """Listens, and hands each whole request to `handle(request, exchange)`, which must not block."""
 
-    def __init__(self, listen: tuple[str, int], most: int, counters: Counters, name: str, body_most: int,
+    def __init__(self, listen: tuple[str, int], counters: Counters, name: str, body_most: int,
                  handle) -> None:
         self.handle, self.body_most, self.counters, self.name = handle, body_most, counters, name
         self.connections: set[Connection] = set()
-        self.listener = Listener(listen, most, counters, name, lambda sock: Connection(self, sock).run())
+        self.listener = Listener(listen, counters, name, lambda sock: Connection(self, sock).run())
 
     def flush(self, seconds: float) -> None:
         """Let what was answered go out."""
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -58,13 +58,13 @@
 class Front:
     """Listens for clients."""
 
-    def __init__(self, core: Core, listen: tuple[str, int], classes: list[str], tenants,
-                 counters: Counters, most: int) -> None:
+    def __init__(self, core: Core, listen: tuple[str, int], classes: tuple[str, ...], tenants,
+                 counters: Counters) -> None:
         self.core, self.counters = core, counters
         self.classes = {name: i for i, name in enumerate(classes)}
         self.tenants = tenants
         self.clients: set[Client] = set()
-        self.listener = Listener(listen, most, counters, "clients", lambda sock: Client(self, sock).run())
+        self.listener = Listener(listen, counters, "clients", lambda sock: Client(self, sock).run())
 
     def stop(self) -> None:
         """Accept nobody any more."""
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -5,6 +5,7 @@
 
 from gevent import Timeout, socket, spawn
 
+from cypressledge.config import Limits
 from cypressledge.contract import NoteKind, Outcome
 from cypressledge.core import Attempt, Core, Place, clock
 from cypressledge.net.buffer import Buffer, TooLong
@@ -43,14 +44,16 @@
 class LinesLink:
     """Connections to every engine, and which attempt rides on which."""
 
-    def __init__(self, core: Core, streams: int, connect_s: float, idle_s: float, most: int,
-                 notes_us: int = 0) -> None:
-        self.core, self.streams, self.connect_s = core, streams, connect_s
-        self.silent = max(int(notes_us * SILENT_NOTES), SILENT_LEAST)
-        self.idle, self.most = int(idle_s * IDLE_PART * 1e6), most
+    def __init__(self, core: Core, limits: Limits) -> None:
+        self.core, self.limits = core, limits
         self.connections: dict[int, list[Connection]] = {}
         core.counters.gauge("engine_connections", self.count)
 
+    @property
+    def silent(self) -> int:
+        """µs without a word from which a connection is not trusted."""
+        return max(int(self.limits.notes_us * SILENT_NOTES), SILENT_LEAST)
+
     def count(self) -> int:
         """Connections held to all engines."""
         return sum(map(len, self.connections.values()))
@@ -62,7 +65,7 @@
             if connection.admits(word, attempt.place):
                 break
         else:
-            if self.count() >= self.most:
+            if self.count() >= self.limits.sockets // 4:
                 self.core.counters.add("moot_sends")
                 self.core.ended(attempt, Outcome.MOOT)
                 return
@@ -90,11 +93,11 @@
 
     def tend(self) -> None:
         """Close what has been idle for long, and what leads to engines that take nothing new."""
-        now = clock()
+        now, idle = clock(), int(self.limits.idle_s * IDLE_PART * 1e6)
         for held in list(self.connections.values()):
             for connection in list(held):
                 unused = connection.place.id not in self.core.ready or connection.suspect()
-                if not connection.exchanges and (unused or now - connection.used > self.idle):
+                if not connection.exchanges and (unused or now - connection.used > idle):
                     connection.close("idle")
 
 
@@ -121,7 +124,7 @@
         while self.order and self.stale[self.order[0]] < clock() - STALE:
             del self.stale[self.order.popleft()]
         usable = not self.closed and not self.suspect() and place == self.place
-        return (usable and len(self.exchanges) < self.link.streams
+        return (usable and len(self.exchanges) < self.link.limits.streams
                 and word not in self.exchanges and word not in self.stale)
 
     def suspect(self) -> bool:
@@ -219,7 +222,7 @@
 
     def _run(self) -> None:
         try:
-            with Timeout(self.link.connect_s):
+            with Timeout(self.link.limits.connect_s):
                 self.sock = socket.create_connection(self.place.address)
         except (OSError, Timeout):
             self.close("connect failed", Outcome.CONNECT_FAILED)
--- a/cypressledge/net/stream.py
+++ b/cypressledge/net/stream.py
@@ -96,9 +96,12 @@
 class Listener:
     """Accepts connections on one address and serves each in a greenlet, `most` at once."""
 
-    def __init__(self, listen: tuple[str, int], most: int, counters: Counters, name: str, serve) -> None:
+    most = 16  # until the limits are known
+
+
+    def __init__(self, listen: tuple[str, int], counters: Counters, name: str, serve) -> None:
         self.counters, self.name, self.serve = counters, name, serve
-        self.pool = Pool(most)
+        self.pool = Pool()
         family = socket.AF_INET6 if ":" in listen[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -117,7 +120,7 @@
                 self.counters.add(f"{self.name}.accept_error.{err.errno}")
                 sleep(0.05)  # out of descriptors, most likely: let some come free
                 continue
-            if self.pool.full():
+            if len(self.pool) >= self.most:
                 self.counters.add(f"{self.name}.turned_away")
                 end(sock)
                 continue
--- a/cypressledge/service.py
+++ b/cypressledge/service.py
@@ -7,18 +7,16 @@
 import tomllib
 from dataclasses import dataclass, field
 
+from cypressledge.config import Config, ConfigError, Limits, address
 from cypressledge.core import Core
 from cypressledge.net.admin import Admin
 from cypressledge.net.clickhouse import ChFront, ChLink
 from cypressledge.net.directory import Catalogue
 from cypressledge.net.dnssd import DnsSd
-from cypressledge.tenants import Tenants
+from cypressledge.tenants import TenantError, Tenants
 
 WIRE = "clickhouse"
-
-
-class ServiceError(Exception):
-    """The service's settings can't be used."""
+CLIENTS_MOST = 128  # client connections over HTTP, where the descriptors allow as many
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,14 +33,6 @@
     tenants: list[dict] = field(default_factory=list)
 
 
-def address(text: object) -> tuple[str, int]:
-    """HOST:PORT as a pair."""
-    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not colon or not port.isdigit() or int(port) > 65535:
-        raise ServiceError(f"no HOST:PORT: {text!r}")
-    return host.strip("[]"), int(port)
-
-
 def read_service(path: str, env=os.environ) -> ServiceConfig:
     """The settings of the file; secrets come from the environment variables that it names."""
     try:
@@ -53,7 +43,10 @@
         token = env.get(admin.get("token_env", ""), "") if admin else ""
         if admin and len(token) < 16:
             named = admin.get("token_env")
-            raise ServiceError(f"{path}: the admin API needs a token of 16 characters in {named}")
+            raise ConfigError(f"{path}: the admin API needs a token of 16 characters in {named}")
+        scratch = Tenants()
+        for given in raw.get("tenant", ()):
+            scratch.put(given.get("name"), given)
         return ServiceConfig(
             listen=address(front["listen"]),
             dns_server=address(sd["server"]) if sd else None,
@@ -62,36 +55,61 @@
             engine_user=engines.get("user", ""), engine_key=env.get(engines.get("key_env", ""), ""),
             tenants=raw.get("tenant", []))
     except OSError as err:
-        raise ServiceError(f"{path}: {err.strerror}") from None
+        raise ConfigError(f"{path}: {err.strerror}") from None
     except tomllib.TOMLDecodeError as err:
-        raise ServiceError(f"{path} is not TOML: {err}") from None
+        raise ConfigError(f"{path} is not TOML: {err}") from None
     except KeyError as err:
-        raise ServiceError(f"{path} lacks {err}") from None
+        raise ConfigError(f"{path} lacks {err}") from None
+    except TenantError as err:
+        raise ConfigError(f"{path}: tenant: {err}") from None
     except (TypeError, AttributeError) as err:
-        raise ServiceError(f"{path} is of the wrong form: {err}") from None
+        raise ConfigError(f"{path} is of the wrong form: {err}") from None
 
 
 class Service:
     """The parts of the hosted service round one core."""
 
-    def __init__(self, config: ServiceConfig, core: Core, settings: dict, tenants: Tenants,
-                 sockets: int) -> None:
-        limits, classes = settings["Limits"], [k["Name"] for k in settings["Classes"]]
-        for given in config.tenants:
-            tenants.put(given.get("name"), given)
-        self.link = ChLink(
-            core, limits["ConnectTimeout"] / 1e6, limits["ConnIdle"] / 1e6, sockets // 4,
-            config.engine_user, config.engine_key)
-        core.links[WIRE] = self.link
-        self.front = ChFront(core, config.listen, classes, tenants)
+    def __init__(self, told: ServiceConfig, core: Core, config: Config, tenants: Tenants) -> None:
+        self.told, self.tenants = told, tenants
+        self.link = core.links[WIRE] = ChLink(core, config.limits)
+        self.front = ChFront(core, told.listen, config.classes, tenants)
         self.servers = [self.front.server]
         self.parts = []
-        if config.admin_listen:
-            self.servers.append(Admin(core, config.admin_listen, config.admin_token, tenants).server)
-        if config.dns_server:
-            catalogue = Catalogue(settings["Skus"], settings["Dcs"], WIRE)
-            self.parts.append(DnsSd(core, config.dns_server, config.dns_service, catalogue).run)
-        self.parts += [server.listener.run for server in self.servers]
+        self.admin = None
+        if told.admin_listen:
+            self.admin = Admin(core, told.admin_listen, tenants)
+            self.servers.append(self.admin.server)
+        self.catalogue = Catalogue(config.kinds, config.zones, WIRE)
+        self.names = DnsSd(core, told.dns_server, told.dns_service, self.catalogue)
+        self.parts += [self.names.run, *(server.listener.run for server in self.servers)]
+        self._take(told)
+
+    def _take(self, told: ServiceConfig) -> None:
+        """Tenants that the file no longer names are gone; those that the API has added stay."""
+        for name in {t["name"] for t in self.told.tenants} - {t["name"] for t in told.tenants}:
+            self.tenants.remove(name)
+        for given in told.tenants:
+            self.tenants.put(given["name"], given)
+        self.told = told
+        self.link.login(told.engine_user, told.engine_key)
+        if self.admin is not None:
+            self.admin.token = told.admin_token
+
+    def limit(self, limits: Limits) -> None:
+        """Take what the deployment allows."""
+        self.link.limits = limits
+        self.front.server.listener.most = min(CLIENTS_MOST, limits.sockets // 4)
+
+    def check(self, told: ServiceConfig) -> None:
+        """Whether this can be taken without a restart."""
+        if (told.listen, told.admin_listen) != (self.told.listen, self.told.admin_listen):
+            raise ConfigError("other addresses to listen on need a restart")
+
+    def reload(self, told: ServiceConfig, config: Config) -> None:
+        """Take what its file says now."""
+        self._take(told)
+        self.catalogue.name(config.kinds, config.zones)
+        self.names.browse(told.dns_server, told.dns_service)
 
     def stop(self) -> None:
         """Accept nobody any more."""
--- a/cypressledge/tenants.py
+++ b/cypressledge/tenants.py
@@ -36,8 +36,8 @@
 class Tenants:
     """All tenants by name, besides those that the site's settings name (`fixed`; they have no key here)."""
 
-    def __init__(self, fixed: list[str] = ()) -> None:
-        self.fixed = frozenset(fixed)
+    def __init__(self) -> None:
+        self.fixed: frozenset[str] = frozenset()
         self.held: dict[str, Tenant] = {}
 
     def __contains__(self, name: str) -> bool:
--- a/tests/stands.py
+++ b/tests/stands.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -148,6 +149,7 @@
 
     def __init__(self):
         self.engines, self.serial, self.mute, self.asked = {}, 1, False, 0
+        self.spoil = False  # send bad answers in front of the good one
         self.instances = {}
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(("127.0.0.1", 0))
@@ -161,8 +163,17 @@
             except OSError:
                 return
             self.asked += 1
-            if not self.mute:
-                self.sock.sendto(self._answer(dns.message.from_wire(raw)), peer)
+            if self.mute:
+                continue
+            good = self._answer(dns.message.from_wire(raw))
+            if self.spoil:
+                serial, self.serial = self.serial, 0
+                old = self._answer(dns.message.from_wire(raw))
+                self.serial = serial
+                failure = good[:3] + bytes([good[3] | 2]) + good[4:]
+                for bad in (failure, good[:-9], bytes([good[0] ^ 1]) + good[1:], old):
+                    self.sock.sendto(bad, peer)
+            self.sock.sendto(good, peer)
 
     def _answer(self, query):
         answer = dns.message.make_response(query)
@@ -299,14 +310,14 @@
             self.dns.engines[e.name] = (e.port, 0)
         members = [{"id": e.name, "host_port": f"127.0.0.1:{e.port}", "locality": "room1", "cell": 0,
                     "flavor": "node-8c", "phase": "Ready", "size": 4, "up_since_ms": 0} for e in engines]
-        config = {
+        self.config = {
             "name": "n1", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "dns": f"127.0.0.1:{self.dns.port}",
             "known": {"offset": 1, "batch": [
                 {"offset": 1, "topology": {"revision": 1, "complete": True, "members": members}}]},
             "settings": SETTINGS} | (change or {})
-        path = Path(self.dir.name) / "config.json"
-        path.write_text(json.dumps(config))
+        self.path = Path(self.dir.name) / "config.json"
+        self.path.write_text(json.dumps(self.config))
         args = [sys.executable, *(["-O"] if optimise else []), "-m", "cypressledge"]
         if service:
             file = Path(self.dir.name) / "service.toml"
@@ -316,7 +327,7 @@
         names = ("ROUTER_NAME", "ROUTER_LISTEN")
         base = {k: v for k, v in os.environ.items() if k not in names}
         self.process = subprocess.Popen(
-            args, cwd=ROOT, stderr=self.log, env=base | {"ROUTER_CONFIG": str(path)} | (env or {}))
+            args, cwd=ROOT, stderr=self.log, env=base | {"ROUTER_CONFIG": str(self.path)} | (env or {}))
 
     def ready(self):
         """Wait until it serves."""
@@ -340,6 +351,15 @@
         asked = self.dns.asked
         until(lambda: self.dns.asked > asked + 1, "the new list")
 
+    def reload(self, text=None, **change):
+        """Replace the configuration file, send SIGHUP, and wait for what the broker says of it."""
+        said = self.words().count("reload:")
+        self.config |= change
+        self.path.write_text(json.dumps(self.config) if text is None else text)
+        self.process.send_signal(signal.SIGHUP)
+        until(lambda: self.words().count("reload:") > said, "the reload")
+        return self.words().splitlines()
+
     def words(self):
         return Path(self.log.name).read_text()
 
