Requests taken back unsent feed no ration of further attempts

Checked with temporary counters in the log: one broker had taken 1,000 requests of bad clients that withdrew them in the same moment, in lots of 200. control.py counted each Arrival in `taken`, so each lot bought 20 further attempts. Ruled out: attempts for bad clients' own requests (104 errors in 24 s) and the window's length.

Now a request that leaves before its first send is taken out of the count, and one that leaves within the tick it came in is not told to the module at all.

--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -106,9 +106,8 @@
         self.cost_ratio, self.need_ratio, self.mean_need = [1.0] * n, [1.25] * n, [1.0] * n
         self.usual, self.class_slow = [0.0] * n, [1.0] * n
         self.taken, self.extra = deque(), deque()
-        self.next_period = self.next_sweep = self.wake_at = 0
-        self.threads, self.needs = 0, 0.0
-        self.lat_sum = self.run_sum = self.big_need = self.mean_run = 0.0
+        self.next_period = self.next_sweep = self.wake_at = self.threads = 0
+        self.needs = self.lat_sum = self.run_sum = self.big_need = self.mean_run = 0.0
         self.slow = self.rate = 1.0
         self.asked: dict[int, float] = {}
         self.ranks: dict[int, list[Engine]] = {}
@@ -205,7 +204,6 @@
         r.attempts, r.engine, r.sent_at, r.maybe_at = 0, None, 0, None
         r.waiting = r.over = r.cancelling = False
         r.maybe_on = r.avoid = r.terms = None
-        r.lane = 1
         self.requests[r.id] = r
         self.asked[r.group] = self.asked.get(r.group, 0.0) + 1.0
         if self.s.retry_ratio is not None:
@@ -251,6 +249,9 @@
 
     def _left(self, event: ClientLeft) -> None:
         if (r := self.requests.get(event.request)) and not r.over:
+            # Guards against clients that take back hundreds at once: what was never sent feeds no ration.
+            if not r.attempts and self.taken and self.taken[0] <= r.arrived:
+                self.taken.remove(r.arrived)
             self._over(r)
 
     def _over(self, r: Request) -> None:
@@ -544,8 +545,7 @@
             if e is None:
                 blocked[pick.cls] = True
                 continue
-            queue = self.queues[pick.cls] or self.overdue[pick.cls]
-            heappop(queue)
+            heappop(self.queues[pick.cls] or self.overdue[pick.cls])
             if pick.attempts and not self._budget():
                 self._give_up(pick)
             else:
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -126,6 +126,7 @@
     priority: int = 1
     open: int = 0
     over: bool = False
+    left: bool = False
     begun: "Attempt | None" = None
     fault: Fault | None = None
 
@@ -194,6 +195,7 @@
 
     def left(self, request: Request) -> None:
         """The client stopped waiting: nothing is owed any more."""
+        request.left = True
         self._post(self._left, request)
 
     def ended(
@@ -281,7 +283,7 @@
         self.manager.configure(settings)
 
     def _taken(self, request: Request) -> None:
-        if request.over:
+        if request.over or request.left:  # taken back at once: not worth the module's time
             return
         q = request.query
         self._at(q.due + OVERDUE, self._overdue, request)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -298,6 +298,16 @@
     assert len(extra) >= 10
 
 
+def test_requests_taken_back_unsent_feed_no_ration():
+    """A client that takes back hundreds at once must not buy further attempts for the others."""
+    f = Fleet(settings(LOOKUP, retry_ratio=0.1, retry_free=0, retry_window=10 * S, max_attempts=1000))
+    f.tell(*(Arrival(n, 0, f.now + S, cost=100_000) for n in range(100, 300)),
+           *(ClientLeft(n) for n in range(100, 300)))
+    f.arrive(1)
+    f.end(1, Outcome.ERROR)
+    assert len(f.sends) == 1
+
+
 # All together, with random outcomes
 
 
