--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -18,14 +18,19 @@
 from cypressledge.contract import ListKind
 from cypressledge.core import Core
 from cypressledge.counters import Counters, log
+from cypressledge.net.buffer import GROWN
 from cypressledge.net.directory import Catalogue, Directory
 from cypressledge.net.jsonrpc import Front
 from cypressledge.net.lines import LinesLink
+from cypressledge.net.stream import QUEUED
 from cypressledge.service import Service, ServiceConfig, read_service
 from cypressledge.tenants import Tenants
 
 LINGER = 0.72  # seconds that a stopping broker goes on taking requests; what came later might meet SIGKILL
 LAST_WORDS = 0.5  # seconds for the last answers to leave
+TEND = 0.5  # seconds between looks at the engines' connections
+OPEN_MOST = 4_000  # requests open at once, where memory allows as many
+OPEN_BYTES = 10_000  # of memory for each, its statement aside
 
 
 class Broker:
@@ -58,11 +63,14 @@
 
     def _limit(self, config: Config) -> None:
         """Take what the configuration allows; at the start and at each reload."""
-        limits = config.limits
+        limits, shared = config.limits, self.service is not None
         self.core.after_most = limits.after_most
-        self.lines.limits = limits
+        self.core.open_most = min(OPEN_MOST, limits.spare // OPEN_BYTES)
+        self.core.held_most = limits.spare // 8
+        GROWN.most = QUEUED.most = limits.spare // 4
+        self.lines.limits, self.lines.most = limits, limits.engines(shared)
         self.tenants.fixed = config.tenants
-        self.front.listener.most = limits.sockets * 2 // 5
+        self.front.listener.most = limits.clients(shared)
         if self.service is not None:
             self.service.limit(limits)
 
@@ -121,7 +129,7 @@
 
     def _tend(self) -> None:
         while True:
-            gevent.sleep(1.0)
+            gevent.sleep(TEND)
             for link in self.links:
                 link.tend()
 
--- a/cypressledge/config.py
+++ b/cypressledge/config.py
@@ -8,6 +8,8 @@
 from cypressledge.settings import SettingsError, settings_of
 
 MEMORY_MB = 192  # where the configuration names no limit
+OWN_SOCKETS = 16  # descriptors that are no client's and no engine's
+OWN_MEMORY_MB = 28  # what a broker takes on a calm day, with room to work
 
 
 class ConfigError(Exception):
@@ -34,6 +36,19 @@
     after_most: int
     notes_us: int
 
+    def clients(self, shared: bool) -> int:
+        """JSON-RPC clients held at once; fewer where the service's fronts share the descriptors."""
+        return (self.sockets - OWN_SOCKETS) * (2 if shared else 3) // 5
+
+    def engines(self, shared: bool) -> int:
+        """Connections to the engines of one wire."""
+        return self.sockets // (5 if shared else 4)
+
+    @property
+    def spare(self) -> int:
+        """Bytes of memory beyond what the program itself takes."""
+        return max(self.memory_mb - OWN_MEMORY_MB, 4) << 20
+
 
 @dataclass(frozen=True, slots=True)
 class Config:
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -26,8 +26,6 @@
 KEY = re.compile(r"[!-+\--~]{1,128}\Z", re.A)  # a client's key: no commas or blanks, it may stand in a list
 ENGINE = re.compile(r"\bengine ([0-9a-f]+)\b")
 OVERDUE = 10_000  # µs after the client's time at which the ledger answers what the module did not
-OPEN_MOST = 4_000  # requests open at once; beyond, the memory limit is in danger: refused unseen
-HELD_MOST = 48 << 20  # bytes of statements held for them
 
 
 def clock() -> int:
@@ -156,12 +154,15 @@
     def __init__(self, settings: c.Settings, seed: int, counters: Counters) -> None:
         self.settings, self.counters = settings, counters
         self.manager = WorkloadManager(settings, seed)
-        self.after_most = 0
+        # What the configuration sets: the pause that refusals name, and how many requests and bytes of their
+        # statements may be open. Beyond, the memory limit is in danger: refused unseen.
+        self.after_most, self.open_most, self.held_most = 0, 1_000, 4 << 20
         self.links: dict[str, Link] = {}
         self.places: dict[int, Place] = {}
         self.lists: dict[str, list[tuple[c.Entry, Place]]] = {}
         self.ready: set[int] = set()
         self.requests: dict[int, Request] = {}
+        self.names: set[str] = set()
         self.inbox: deque[tuple] = deque()
         self.woken = Event()
         self.numbers = itertools.count(1)
@@ -182,17 +183,23 @@
 
     def take(self, query: Query, reply: Reply) -> Request | None:
         """Take a query; None, and a refusal at once, if there is no room or the broker is stopping."""
-        if not self.taking or len(self.requests) >= OPEN_MOST or self.held > HELD_MOST:
+        if not self.taking or len(self.requests) >= self.open_most or self.held > self.held_most:
             self.counters.add("refused.no_room")
             reply.refused(self.after_most)
             return None
         request = Request(next(self.numbers), query, reply)
         self.requests[request.number] = request
+        self.names.add(query.id)
         self.held += len(query.statement)
         self.counters.add(f"taken.{query.class_name}")
         self._post(self._taken, request)
         return request
 
+    def knows(self, name: str) -> bool:
+        """Whether a request of this id is open, or an attempt of it: engines know queries by their ids, so a
+        second one of the same id would get the first one's answer."""
+        return name in self.names
+
     def left(self, request: Request) -> None:
         """The client stopped waiting: nothing is owed any more."""
         request.left = True
@@ -286,7 +293,7 @@
         if request.over or request.left:  # taken back at once: not worth the module's time
             return
         q = request.query
-        self._at(q.due + OVERDUE, self._overdue, request)
+        self._at(q.due + OVERDUE, self._due, request.number)
         key = stable(q.key, 8) if q.key else 0
         self.events.append(c.Arrival(
             request.number, q.cls, q.due, key, q.cost, q.memory_mb, q.group, q.repeat))
@@ -300,6 +307,11 @@
         self._conclude(request)
         self.events.append(c.ClientLeft(request.number))
 
+    def _due(self, number: int) -> None:
+        # Alarms know requests by number: they outlive most of them, and must not keep what has been answered.
+        if (request := self.requests.get(number)) is not None:
+            self._overdue(request)
+
     def _overdue(self, request: Request) -> None:
         # Guards against a request that the module forgot: it is owed an answer all the same.
         if request.over:
@@ -309,7 +321,7 @@
         self.events.append(c.ClientLeft(request.number))
 
     def _listed(self, kind: c.ListKind, engines: list[tuple[c.Entry, Place]]) -> None:
-        self.places.update((p.id, p) for _, p in engines)
+        self.places = {p.id: p for _, p in engines}  # none of those that are gone: they would pile up
         self.counters.add("lists")
         self.events.append(c.EngineList(kind, tuple(e for e, _ in engines)))
 
@@ -348,9 +360,12 @@
             request.number, attempt.hop, attempt.place.id, outcome, request.over, latency))
         self._forget(request)
 
-    def _expired(self, attempt: Attempt) -> None:
-        if attempt.open and attempt.request.begun is not attempt:
-            self._stop(attempt, c.Outcome.TIMEOUT)
+    def _expired(self, named: tuple[int, int]) -> None:
+        number, hop = named
+        if (request := self.requests.get(number)) is not None:
+            attempt = request.attempts[hop]
+            if request.begun is not attempt:
+                self._stop(attempt, c.Outcome.TIMEOUT)
 
     # What the module answers
 
@@ -371,7 +386,7 @@
             self.ended(attempt, c.Outcome.MOOT)
             return
         self.counters.add("attempts.first" if attempt.hop == 0 else "attempts.further")
-        self._at(until, self._expired, attempt)
+        self._at(until, self._expired, (request.number, attempt.hop))
         self.links[place.wire].send(attempt)
 
     def _terms(self, a: c.SetTerms) -> None:
@@ -435,10 +450,12 @@
             self.ended(attempt, outcome)
 
     def _close(self, attempt: Attempt) -> None:
-        attempt.open = False
+        attempt.open, attempt.carrier = False, None  # its pages go with the carrier
         attempt.request.open -= 1
 
     def _forget(self, request: Request) -> None:
         if request.over and not request.open:
             self.requests.pop(request.number, None)
-            request.query.statement = b""  # alarms still know the request for a while: not its bytes as well
+            self.names.discard(request.query.id)
+            # Whoever still knows the request must not keep its bytes, and its client's connection, as well.
+            request.query.statement, request.reply, request.attempts = b"", None, []
--- a/cypressledge/net/admin.py
+++ b/cypressledge/net/admin.py
@@ -9,7 +9,6 @@
 from cypressledge.tenants import TenantError, Tenants
 
 BODY_MOST = 64 << 10
-CONNECTIONS_MOST = 16
 
 
 class AdminError(Exception):
@@ -26,7 +25,6 @@
     def __init__(self, core: Core, listen: tuple[str, int], tenants: Tenants) -> None:
         self.core, self.token, self.tenants = core, "", tenants
         self.server = HttpServer(listen, core.counters, "admin", BODY_MOST, self._handle)
-        self.server.listener.most = CONNECTIONS_MOST
 
     def _handle(self, request: HttpRequest, exchange: Exchange) -> None:
         try:
--- a/cypressledge/net/buffer.py
+++ b/cypressledge/net/buffer.py
@@ -5,7 +5,7 @@
 FIRST = 4096
 READ = 2048  # least free room before a read
 LARGE = 65536  # a buffer that grew past this is given back once it is empty
-ALL_MOST = 40 << 20
+ALL_MOST = 8 << 20  # until the configuration tells
 
 
 class TooLong(Exception):
--- a/cypressledge/net/clickhouse.py
+++ b/cypressledge/net/clickhouse.py
@@ -103,7 +103,7 @@
     def _query(self, r: HttpRequest, exchange: Exchange) -> None:
         tenant = self._tenant(r)
         query = self._read(r, tenant)
-        if query.id in self.open:
+        if self.core.knows(query.id):
             raise ChError(216, f"Query with id = {query.id} is already running")
         answer = ChReply(self, query, tenant, exchange)
         full = len(self.open) >= OPEN_MOST or 0 < tenant.most_open <= tenant.open
@@ -298,7 +298,7 @@
 
     def send(self, attempt: Attempt) -> None:
         """Run the attempt in a greenlet of its own."""
-        if self.held >= self.limits.sockets // 4:
+        if self.held >= self.limits.engines(shared=True):
             self.core.counters.add("moot_sends")
             self.core.ended(attempt, Outcome.MOOT)
             return
--- a/cypressledge/net/http.py
+++ b/cypressledge/net/http.py
@@ -8,17 +8,19 @@
 
 import httptools
 
+from cypressledge.core import clock
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Budget, Buffer
-from cypressledge.net.stream import Listener, Writer, drain, end, fill, flush
+from cypressledge.net.stream import FIRST, Idle, Listener, Writer, drain, end, fill, flush, left, missed
 
 READ = 16 << 10  # bytes read at once; the parser takes them all
 HEAD_MOST = 64 << 10  # bytes of the target and all header fields
 WAITING_MOST = 4  # pipelined requests that wait on one connection
-BODIES = Budget(24 << 20)  # bytes of requests that are not handed on yet, on all connections
+BODIES = Budget(8 << 20)  # bytes of requests that are not handed on yet, until the limits are known
 QUEUED_MOST = 8 << 20
 PATIENCE = 60.0
 IDLE = 30.0
+PART = 5.0  # seconds from the first byte of a request to its last
 
 
 class TooLarge(Exception):
@@ -46,7 +48,8 @@
                  handle) -> None:
         self.handle, self.body_most, self.counters, self.name = handle, body_most, counters, name
         self.connections: set[Connection] = set()
-        self.listener = Listener(listen, counters, name, lambda sock: Connection(self, sock).run())
+        self.listener = Listener(listen, counters, name, lambda sock: Connection(self, sock).run(),
+                                 self.connections)
 
     def flush(self, seconds: float) -> None:
         """Let what was answered go out."""
@@ -61,6 +64,8 @@
         self.waiting: deque[HttpRequest] = deque()
         self.current: Exchange | None = None
         self.closing, self.held = False, 0
+        self.since = self.last = clock()
+        self.began, self.asked = 0, False  # `began`: when the request that is not whole yet did
         self.writer = Writer(sock, QUEUED_MOST, PATIENCE, lambda why: end(sock))
         self.parser = httptools.HttpRequestParser(self)
         self._start()
@@ -70,7 +75,8 @@
         """Read until the client leaves; then whatever is open is nobody's any more."""
         buffer = Buffer(READ, first=READ)
         try:
-            while not self.closing and fill(buffer, self.sock, IDLE, lambda: self.current is not None):
+            while not self.closing and fill(buffer, self.sock, self._patience):
+                self.last = clock()
                 self.parser.feed_data(buffer.rest())
                 self._next()
         except httptools.HttpParserCallbackError as err:
@@ -79,11 +85,27 @@
             self._bad(int(str(limit)) if isinstance(limit, TooLarge) else 400)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError):
             self._bad(400)
+        except Idle:
+            self.server.counters.add(f"{self.server.name}.idle")
+            if self.began:
+                self._bad(408)
         except OSError:
             pass
         finally:
             self._leave()
 
+    def _patience(self) -> float:
+        """Seconds until the client must have said more: nobody holds a place for saying nothing or half."""
+        if self.began:
+            return left(self.began, PART)
+        if self.current is not None:
+            return IDLE
+        return left(self.last, IDLE) if self.asked else left(self.since, FIRST)
+
+    def missed(self, now: int) -> tuple[int, int]:
+        """How much the connection would be missed, where room is needed."""
+        return missed(now, self.since, self.last, self.asked, bool(self.current or self.began))
+
     def _bad(self, status: int) -> None:
         """What can't be read ends the connection; an exchange under way keeps its own answer's form."""
         self.server.counters.add(f"{self.server.name}.bad_http")
@@ -103,7 +125,7 @@
         self.server.connections.discard(self)
         self._release(self.held)
         self.writer.close()
-        self.writer.greenlet.join(PATIENCE)
+        self.writer.flushed.wait(PATIENCE)
         end(self.sock)
 
     # httptools calls these
@@ -113,6 +135,7 @@
 
     def on_message_begin(self) -> None:
         """A request starts."""
+        self.began = clock()
         self._start()
 
     def on_url(self, url: bytes) -> None:
@@ -151,6 +174,7 @@
 
     def on_message_complete(self) -> None:
         """The request is whole."""
+        self.began, self.asked = 0, True
         r, target = self.request, urlsplit(self.url.decode("latin-1"))
         r.method, r.version = self.parser.get_method().decode(), self.parser.get_http_version()
         r.keep, r.body = self.parser.should_keep_alive(), b"".join(self.body)
@@ -172,10 +196,9 @@
         """The exchange is answered, whole or broken."""
         self.current = None
         if not keep:
-            self.writer.close()
-            if not self.closing:
-                self.closing = True
-                self.writer.greenlet.link(lambda _: end(self.sock))
+            then = None if self.closing else lambda: end(self.sock)
+            self.closing = True
+            self.writer.close(then)
         else:
             self._next()
 
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -3,14 +3,13 @@
 import base64
 import binascii
 import json
-import math
 import re
 
 from cypressledge.contract import Effect
-from cypressledge.core import KEY, Core, Fault, Query, Request, clock
+from cypressledge.core import Core, Fault, Query, Request, clock
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Buffer, TooLong
-from cypressledge.net.stream import Listener, Writer, drain, end, fill, flush
+from cypressledge.net.stream import FIRST, Idle, Listener, Writer, drain, end, fill, flush, left, missed
 from cypressledge.sql import table_group
 
 HEAD_MOST = 1024
@@ -18,8 +17,15 @@
 OPEN_MOST = 32  # open requests on one connection
 QUEUED_MOST = 4 << 20  # bytes of answers that a client may leave unread
 PATIENCE = 30.0  # seconds a single write may take
-IDLE = 120.0  # seconds without a byte, nothing open, after which a client is let go
-WAIT_MOST = 86_400_000  # ms
+PART = 2.0  # seconds from the first byte of a message to its last
+IDLE = 10.0  # seconds with nothing open until a client that has asked is let go; usual ones close after 4
+FAULTS_MOST = 16  # messages that are errors, from one connection
+WAIT_PART = 2  # of a class's deadline: longer waits are no figure of any client's
+COST_MOST = 1e8  # ms
+MEMORY_MOST = 1e6  # MB
+NUMBER_MOST = 1 << 53
+SKIPPED_MOST = 1024  # ids that a connection may have used out of order
+KEYS = re.compile(r"[0-9A-Za-z_.:/+~-]{1,128}\Z", re.A)
 REFUSED = -32066
 FAILED = -32000
 PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
@@ -49,6 +55,8 @@
         if number <= self.floor or number in self.above:
             return False
         self.above.add(number)
+        if len(self.above) > SKIPPED_MOST:  # numbers skipped: what lies under the rest is given up
+            self.floor = min(self.above) - 1
         while self.floor + 1 in self.above:
             self.floor += 1
             self.above.remove(self.floor)
@@ -64,7 +72,8 @@
         self.classes = {name: i for i, name in enumerate(classes)}
         self.tenants = tenants
         self.clients: set[Client] = set()
-        self.listener = Listener(listen, counters, "clients", lambda sock: Client(self, sock).run())
+        self.listener = Listener(
+            listen, counters, "clients", lambda sock: Client(self, sock).run(), self.clients)
 
     def stop(self) -> None:
         """Accept nobody any more."""
@@ -84,24 +93,60 @@
         self.used = Used()
         self.open: dict[int, Call] = {}
         self.writer = Writer(sock, QUEUED_MOST, PATIENCE, self._gone)
+        self.since = self.last = clock()
+        self.began = self.faults = 0  # `began`: when the message that is not whole yet did
+        self.asked = self.told = False
         front.clients.add(self)
 
     def run(self) -> None:
-        """Read until the client leaves or framing is lost."""
+        """Read until the client leaves, framing is lost, or nothing comes for too long."""
         buffer = Buffer(FRAME_MOST + HEAD_MOST)
         try:
-            while fill(buffer, self.sock, IDLE, lambda: bool(self.open)):
-                while (frame := self._frame(buffer)) is not None:
-                    self._message(frame)
+            while fill(buffer, self.sock, self._patience):
+                self._messages(buffer)
         except (BadFrame, TooLong) as err:
             self.counters.add("bad_frames")
             self._error(None, INVALID, f"bad framing: {err}")
             drain(self.sock, self.writer)
+        except Idle:
+            self.counters.add("clients.idle")
+            drain(self.sock, self.writer)
         except OSError:
             pass
         finally:
             self._leave()
 
+    def _messages(self, buffer: Buffer) -> None:
+        whole = False
+        while (frame := self._frame(buffer)) is not None:
+            whole = True
+            self._message(frame)
+            if self.faults > FAULTS_MOST:
+                raise BadFrame("too many errors")
+        self.last = clock()
+        self.asked |= whole
+        if not len(buffer):
+            self.began = 0
+        elif whole or not self.began:
+            self.began = self.last
+
+    def _patience(self) -> float:
+        """Seconds until the client must have said more.
+
+        Guards against clients that say nothing, never end a message, or take back all they asked: each is
+        owed a word or a close within 3 s. Whoever has asked and been answered may stay idle."""
+        if self.began:
+            if clock() > self.began + PART * 1e6:
+                raise BadFrame("message not whole in time")
+            return left(self.began, PART)
+        if self.open:
+            return IDLE
+        return left(self.last, IDLE) if self.asked and self.told else left(self.since, FIRST)
+
+    def missed(self, now: int) -> tuple[int, int]:
+        """How much the connection would be missed, where room is needed."""
+        return missed(now, self.since, self.last, self.asked, bool(self.open or self.began))
+
     def _gone(self, why: str) -> None:
         self.counters.add("clients_cut")
         end(self.sock)
@@ -135,6 +180,7 @@
 
     def say(self, message: dict) -> None:
         """Queue one message."""
+        self.told = True
         raw = json.dumps(message, separators=(",", ":")).encode()
         self.writer.put(b"Content-Length: %d\r\n\r\n" % len(raw), raw)
 
@@ -154,6 +200,7 @@
             method, number = self._head(message)
             self._call(method, number, message.get("params"))
         except RpcError as err:
+            self.faults += 1
             self.counters.add(f"rpc_error.{-err.code}")
             self._error(number, err.code, str(err))
 
@@ -166,7 +213,7 @@
             raise RpcError(INVALID, "no method")
         if method == "withdraw":
             return method, number
-        if type(number) is not int or number < 1:
+        if type(number) is not int or not 1 <= number <= NUMBER_MOST:
             raise RpcError(INVALID, "id is not a number from 1")
         if not self.used.add(number):
             # Under the id itself an error would be a second answer to the open request.
@@ -186,7 +233,8 @@
     def _take(self, query: Query, call: "Call") -> None:
         full = len(self.open) >= OPEN_MOST
         self.open[call.number] = call
-        if full:
+        if full:  # no client that keeps to the protocol gets here
+            self.faults += 1
             self.counters.add("refused.connection_full")
             call.refused(self.core.after_most)
         else:
@@ -201,27 +249,32 @@
                 call.leave()
 
     def _query(self, method: str, params) -> Query:
+        """The query, if an engine can use all of it. Guards against what engines can't read: they close a
+        connection on it, with the work of others."""
         now = clock()
         if not isinstance(params, dict):
             raise RpcError(BAD_PARAMS, "params is no object")
         cls = self.front.classes[method]
-        wait = _number(params, "wait", WAIT_MOST)
-        key = params.get("once")
-        if self.core.settings.classes[cls].effect is Effect.KEYED and key is None:
-            raise RpcError(BAD_PARAMS, "once is missing")
-        if key is not None and not (isinstance(key, str) and KEY.match(key)):
-            raise RpcError(BAD_PARAMS, "once is no key")
+        spec = self.core.settings.classes[cls]
+        wait = _number(params, "wait", spec.deadline / 1000 * WAIT_PART)
+        if wait < 1:
+            raise RpcError(BAD_PARAMS, "wait is no figure in range")
         name, tenant = params.get("id"), params.get("tenant")
         if not isinstance(name, str) or not ID.match(name):
             raise RpcError(BAD_PARAMS, "id is not 16 hex digits")
+        if self.core.knows(name):
+            raise RpcError(BAD_PARAMS, "id is that of an open request")
         if not isinstance(tenant, str) or tenant not in self.front.tenants:
             raise RpcError(BAD_PARAMS, "unknown tenant")
-        statement = _statement(params.get("content"))
+        if params.get("retry", 0) not in (0, 1):
+            raise RpcError(BAD_PARAMS, "retry is not 1")
+        statement, text = _statement(params.get("content"))
         return Query(
             id=name, cls=cls, class_name=method, tenant=tenant, statement=statement,
-            due=now + int(wait * 1000), key=key or "", cost=int(_number(params, "cost", 1e9, 0.0) * 1000),
-            memory_mb=_number(params, "mem", 1e9, 0.0), repeat=bool(params.get("retry")),
-            group=table_group(statement.decode("utf-8", "replace")))
+            due=now + int(wait * 1000), key=_key(params, spec.effect is Effect.KEYED),
+            cost=int(_number(params, "cost", COST_MOST, 0.0) * 1000),
+            memory_mb=_number(params, "mem", MEMORY_MOST, 0.0), repeat=bool(params.get("retry")),
+            group=table_group(text))
 
 
 class Call:
@@ -264,14 +317,31 @@
 
 def _number(params: dict, name: str, most: float, default: float | None = None) -> float:
     value = params.get(name, default)
-    good = type(value) in (int, float) and math.isfinite(value) and 0 <= value <= most
-    if not good:
+    if type(value) not in (int, float) or not 0 <= value <= most:  # NaN is in no range
         raise RpcError(BAD_PARAMS, f"{name} is no figure in range")
     return value
 
 
-def _statement(content) -> bytes:
+def _key(params: dict, keyed: bool) -> str:
+    key = params.get("once")
+    if not keyed:
+        if key is not None:
+            raise RpcError(BAD_PARAMS, "once belongs to classes that carry a key")
+        return ""
+    if key is None:
+        raise RpcError(BAD_PARAMS, "once is missing")
+    if not isinstance(key, str) or not KEYS.match(key):
+        raise RpcError(BAD_PARAMS, "once is no key")
+    return key
+
+
+def _statement(content) -> tuple[bytes, str]:
+    """The statement, and the same as text."""
     try:
-        return base64.b64decode(content, validate=True)
+        statement = base64.b64decode(content, validate=True)
+        text = statement.decode()
     except (TypeError, ValueError, binascii.Error):
-        raise RpcError(BAD_PARAMS, "content is not base64") from None
+        raise RpcError(BAD_PARAMS, "content is not base64 of a statement") from None
+    if not text.strip() or "\0" in text:
+        raise RpcError(BAD_PARAMS, "content is no statement")
+    return statement, text
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -9,17 +9,24 @@
 from cypressledge.contract import NoteKind, Outcome
 from cypressledge.core import Attempt, Core, Place, clock
 from cypressledge.net.buffer import Buffer, TooLong
-from cypressledge.net.stream import Writer, end, tune
-
-LINE_MOST = 4096
-BODY_MOST = 65536
-PAGES_MOST = 1024
-RESULT_MOST = 1 << 20
+from cypressledge.net.stream import Idle, Writer, end, fill, left, tune
+
+LINE_MOST = 1024
+PAGE_MOST = 6000
+RESULT_MOST = 48_000
+PAGES_MOST = 64  # of one result: pages hold whole rows, so they are seldom less than half full
+COLUMNS = 3
+PART = 1.0  # seconds from the first byte of an answer to its last
+WATCH = 60.0  # seconds; how long one read may wait is no matter here
 UNSENT_MOST = 500_000  # µs a send may wait for its connection; then it is not sent at all
 STALE = 60_000_000  # µs that the id of a cancelled attempt bars its connection to a repeat
 IDLE_PART = 0.8  # of the site's idle time: we close first, so that no send crosses the engine's close
 SILENT_NOTES = 2.5  # intervals of notes without a word, from which a connection is not trusted any more
 SILENT_LEAST = 2_500_000  # µs; for sites whose engines send no notes or very frequent ones
+LOST_NOTES = 1.7  # such intervals, from which an answer is lost if its engine speaks elsewhere
+WITNESS = 0.8  # intervals of notes within which it must have
+READING_MOST = 1e9  # of a note
+WORDS = frozenset((b"200", b"503", b"500", b"504", b"status", b"chunk"))
 NOTES = {b"done": NoteKind.PROGRESS, b"spills": NoteKind.SPILLS, b"waits": NoteKind.WAITS}
 
 
@@ -45,7 +52,7 @@
     """Connections to every engine, and which attempt rides on which."""
 
     def __init__(self, core: Core, limits: Limits) -> None:
-        self.core, self.limits = core, limits
+        self.core, self.limits, self.most = core, limits, 0
         self.connections: dict[int, list[Connection]] = {}
         core.counters.gauge("engine_connections", self.count)
 
@@ -59,19 +66,20 @@
         return sum(map(len, self.connections.values()))
 
     def send(self, attempt: Attempt) -> None:
-        """Carry the attempt on a connection with room that never carried its id, else on a new one."""
-        word = attempt.query.id.encode()
-        for connection in self.connections.get(attempt.place.id, ()):
-            if connection.admits(word, attempt.place):
-                break
+        """Carry the attempt on a connection of its own while there are descriptors, else on the emptiest.
+
+        Guards against one spoilt answer, which ends its connection, taking the work of others with it."""
+        word, place = attempt.query.id.encode(), attempt.place
+        usable = [c for c in self.connections.get(place.id, ()) if c.admits(word, place)]
+        connection = min(usable, key=lambda c: (len(c.exchanges), -c.used), default=None)
+        if (connection is None or connection.exchanges) and self.count() < self.most:
+            connection = Connection(self, place)
+            self.connections.setdefault(place.id, []).append(connection)
+        if connection is None:
+            self.core.counters.add("moot_sends")
+            self.core.ended(attempt, Outcome.MOOT)
         else:
-            if self.count() >= self.limits.sockets // 4:
-                self.core.counters.add("moot_sends")
-                self.core.ended(attempt, Outcome.MOOT)
-                return
-            connection = Connection(self, attempt.place)
-            self.connections.setdefault(attempt.place.id, []).append(connection)
-        connection.carry(attempt, word)
+            connection.carry(attempt, word)
 
     def cancel(self, attempt: Attempt) -> None:
         """Give the attempt up."""
@@ -92,10 +100,14 @@
             self.connections.pop(connection.place.id, None)
 
     def tend(self) -> None:
-        """Close what has been idle for long, and what leads to engines that take nothing new."""
+        """Close what has been idle for long, what leads to engines that take nothing new, and what has lost
+        an answer."""
         now, idle = clock(), int(self.limits.idle_s * IDLE_PART * 1e6)
         for held in list(self.connections.values()):
+            heard = max(connection.heard for connection in held)
             for connection in list(held):
+                if connection.lost(heard):
+                    connection.close("answer lost")
                 unused = connection.place.id not in self.core.ready or connection.suspect()
                 if not connection.exchanges and (unused or now - connection.used > idle):
                     connection.close("idle")
@@ -111,7 +123,7 @@
         self.stale: dict[bytes, int] = {}
         self.order: deque[bytes] = deque()
         self.used = clock()
-        self.unheard = 0
+        self.unheard = self.heard = self.began = 0
         self.sock = self.writer = None
         self.closed = False
         self.greenlet = spawn(self._run)
@@ -133,6 +145,14 @@
         connection, which proves within the connect time-out whether anybody is there."""
         return 0 < self.unheard < clock() - self.link.silent
 
+    def lost(self, heard: int) -> bool:
+        """Guards against answers that never come: whoever runs a query tells at least a note each interval.
+        Only a connection that is silent while its engine speaks on another one has lost something; an engine
+        that is silent altogether is the module's to judge."""
+        notes, now = self.link.limits.notes_us, clock()
+        return (0 < self.unheard < now - int(notes * LOST_NOTES) and notes > 0
+                and heard > now - int(notes * WITNESS))
+
     def carry(self, attempt: Attempt, word: bytes) -> None:
         """Take the attempt; it goes out once the connection is up."""
         exchange = attempt.carrier = Exchange(attempt, self, word)
@@ -239,26 +259,34 @@
         self._read()
 
     def _read(self) -> None:
-        buffer = Buffer(LINE_MOST + BODY_MOST)
+        buffer = Buffer(LINE_MOST + PAGE_MOST)
         why = "closed by engine"
         try:
-            while buffer.fill(self.sock):
+            while fill(buffer, self.sock, self._patience):
+                self.heard = clock()
                 while self._message(buffer):
-                    pass
-                self.unheard = clock() if self.exchanges else 0
+                    self.began = 0
+                self.began = (self.began or self.heard) if len(buffer) else 0
+                self.unheard = self.heard if self.exchanges else 0
         except OSError as err:
             why = f"reset by engine: {err}"
-        except (BadLine, TooLong, ValueError) as err:
+        except Idle:
+            why = "cut short"
+        except (BadLine, TooLong) as err:
             why = f"bad line: {err}"
         self.close(why)
 
+    def _patience(self) -> float:
+        """Guards against answers that stop short: the rest of one that has begun must follow soon."""
+        return left(self.began, PART) if self.began else WATCH
+
     def _message(self, buffer: Buffer) -> bool:
         """Take one whole message; False while none is there."""
         line = buffer.peek(b"\r\n", LINE_MOST)
         if line is None:
             return False
         words = line.split(b" ")
-        if len(words) != 4 or not words[3].isdigit() or int(words[3]) > BODY_MOST:
+        if len(words) != 4 or not words[3].isdigit() or int(words[3]) > PAGE_MOST:
             raise BadLine(line[:80])
         size = int(words[3])
         message = buffer.take(len(line) + 2 + size + 2)
@@ -271,42 +299,55 @@
         return True
 
     def _told(self, word: bytes, what: bytes, fields: bytes, body: bytes) -> None:
-        exchange = self.exchanges.get(word)
+        told, exchange = _fields(fields), self.exchanges.get(word)
+        if what not in WORDS:
+            raise BadLine(what[:80])
         if exchange is None or not exchange.sent:
             self.core.counters.add("late_answers")
-            return
-        told = dict(f.split(b"=", 1) for f in fields.split(b",")) if fields != b"-" else {}
-        if what == b"status":
-            if told.get(b"note") in NOTES:
-                self.core.noted(exchange.attempt, NOTES[told[b"note"]], float(told[b"reading"]))
-        elif what == b"200" and not exchange.pages:
-            self._first(exchange, int(told.get(b"count", b"1")), body)
-        elif what == b"chunk" and exchange.pages:
-            self._page(exchange, int(told[b"pos"]), body)
-        elif what == b"503" and not exchange.pages:
-            self._end(exchange, Outcome.FULL)
-        elif what == b"504" and not exchange.pages:
-            self._end(exchange, Outcome.MOOT)
-        else:  # 500, and whatever an answer that has begun can't be followed by: it may have run
+        elif what == b"status":
+            self._note(exchange, told)
+        elif what == b"200":
+            self._first(exchange, told, body)
+        elif what == b"chunk":
+            self._page(exchange, _count(told, b"pos", 1, len(exchange.pages) - 1), body)
+        elif exchange.pages or what == b"500":
             if exchange.pages:
                 # Guards against the other pages that were asked for together: their answers still come, and
                 # must not meet a repeat of the id here.
                 self._bar(word)
             self._end(exchange, Outcome.ERROR)
+        else:
+            self._end(exchange, Outcome.FULL if what == b"503" else Outcome.MOOT)
 
-    def _first(self, exchange: Exchange, count: int, body: bytes) -> None:
-        if not 1 <= count <= PAGES_MOST:
-            raise BadLine(b"count")
+    def _note(self, exchange: Exchange, told: dict[bytes, bytes]) -> None:
+        """Guards against notes that are noise: the module reckons with them."""
+        kind = NOTES.get(told.get(b"note", b""))
+        if kind is None:
+            return
+        try:
+            value = float(told.get(b"reading", b""))
+        except ValueError:
+            raise BadLine(b"reading") from None
+        if not 0 <= value <= READING_MOST:
+            raise BadLine(b"reading")
+        self.core.noted(exchange.attempt, kind, value)
+
+    def _first(self, exchange: Exchange, told: dict[bytes, bytes], body: bytes) -> None:
+        count = _count(told, b"count", 1, PAGES_MOST)
+        if exchange.pages:  # a second copy of an answer that was good
+            self.core.counters.add("second_copies")
+            return
         exchange.pages, exchange.missing = [None] * count, count
         self._page(exchange, 0, body)
         if count > 1:  # all pages are asked for together
             self.writer.put(*(b"turn %s %d\r\n" % (exchange.word, n) for n in range(1, count)))
 
     def _page(self, exchange: Exchange, n: int, body: bytes) -> None:
-        if not 0 <= n < len(exchange.pages):
-            raise BadLine(b"pos")
         if exchange.pages[n] is not None:
+            self.core.counters.add("second_copies")
             return
+        if not whole_rows(body) or not body and len(exchange.pages) > 1:
+            raise BadLine(b"rows")
         exchange.pages[n] = body
         exchange.missing -= 1
         exchange.size += len(body)
@@ -316,3 +357,31 @@
             if len(exchange.pages) > 1:
                 self.say(b"shut " + exchange.word)
             self._end(exchange, Outcome.OK, b"".join(exchange.pages))
+
+
+def whole_rows(body: bytes) -> bool:
+    """Guards against spoilt pages being passed on: text, in whole rows of three columns."""
+    if not body:
+        return True
+    rows = body.split(b"\n")
+    try:
+        text = body.decode()
+    except UnicodeDecodeError:
+        return False
+    return not rows.pop() and "\0" not in text and all(row.count(b"\t") == COLUMNS - 1 for row in rows)
+
+
+def _fields(fields: bytes) -> dict[bytes, bytes]:
+    if fields == b"-":
+        return {}
+    pairs = [f.split(b"=", 1) for f in fields.split(b",")]
+    if any(len(pair) != 2 for pair in pairs):
+        raise BadLine(fields[:80])
+    return dict(pairs)
+
+
+def _count(told: dict[bytes, bytes], name: bytes, least: int, most: int) -> int:
+    value = told.get(name, b"")
+    if not value.isdigit() or not least <= int(value) <= most:
+        raise BadLine(name)
+    return int(value)
--- a/cypressledge/net/stream.py
+++ b/cypressledge/net/stream.py
@@ -1,21 +1,28 @@
 """What every connection needs: a writer that no stalled peer can make block anyone else."""
 
 from collections import deque
+from collections.abc import Callable
 
 from gevent import Timeout, sleep, socket, spawn
 from gevent.event import Event
 from gevent.pool import Pool
 
+from cypressledge.core import clock
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Budget, Buffer
 
-QUEUED = Budget(48 << 20)  # bytes that wait for slow peers, in the whole process
+QUEUED = Budget(8 << 20)  # bytes that wait for slow peers, in the whole process, until the limits are known
 DRAIN = 2.0  # seconds
+FIRST = 2.0  # seconds from connecting to a client's first whole message, and to the first word for it
+UNUSED = 4_500_000  # µs: clients close what was idle for 4 s, so what is idle for longer is not used again
+NEW = 300_000  # µs in which a client that has just connected is not taken for a silent one
+KEPT = (9, 0)
+WASTE = bytearray(256 << 10)  # where bytes go that nobody wants
 LOW = 256 << 10  # queued bytes under which a stream may go on
 
 
 class Writer:
-    """Sends queued bytes from a greenlet of its own; `put` never blocks.
+    """Sends queued bytes from a greenlet that lives while there are any; `put` never blocks.
 
     Guards against a peer that stops reading: beyond `most` queued bytes, or `patience` seconds in one
     send, the connection is given up through `gone`.
@@ -25,11 +32,11 @@
         self.sock, self.most, self.patience, self.gone = sock, most, patience, gone
         self.queue: deque = deque()
         self.queued = 0
-        self.woken, self.flushed, self.low = Event(), Event(), Event()
+        self.flushed, self.low = Event(), Event()
         self.flushed.set()
         self.low.set()
-        self.closed = self.lost = False
-        self.greenlet = spawn(self._run)
+        self.closed = self.lost = self.running = False
+        self.then = None
 
     def put(self, *parts: bytes, live=None) -> None:
         """Queue bytes; with `live`, they are dropped if it says no when their turn comes."""
@@ -42,16 +49,19 @@
         self.queue.append((raw, live))
         self.queued += len(raw)
         self.flushed.clear()
-        self.woken.set()
+        if not self.running:  # most connections are idle: a greenlet kept for each would cost memory
+            self.running = True
+            spawn(self._run)
         if self.queued > LOW:
             self.low.clear()
         if self.queued > self.most:
             self._lose("peer does not read")
 
-    def close(self) -> None:
-        """Nothing more will be queued; what is queued still goes out."""
-        self.closed = True
-        self.woken.set()
+    def close(self, then: Callable[[], None] | None = None) -> None:
+        """Nothing more will be queued; what is queued still goes out, and then comes `then`."""
+        self.closed, self.then = True, then
+        if then is not None and not self.running:
+            then()
 
     def _lose(self, why: str) -> None:
         if self.lost:
@@ -62,21 +72,18 @@
         self.queued = 0
         self.flushed.set()
         self.low.set()
-        self.woken.set()
         self.gone(why)
 
     def _run(self) -> None:
         try:
-            while True:
-                self.woken.wait()
-                self.woken.clear()
-                while self.queue:
-                    self._send()
-                self.flushed.set()
-                if self.closed:
-                    return
+            while self.queue:
+                self._send()
         except (OSError, Timeout) as err:
             self._lose(f"write: {err}")
+        self.running = False
+        self.flushed.set()
+        if self.then is not None:
+            self.then()
 
     def _send(self) -> None:
         taken, parts = 0, []
@@ -99,8 +106,9 @@
     most = 16  # until the limits are known
 
 
-    def __init__(self, listen: tuple[str, int], counters: Counters, name: str, serve) -> None:
-        self.counters, self.name, self.serve = counters, name, serve
+    def __init__(self, listen: tuple[str, int], counters: Counters, name: str, serve,
+                 connections: set) -> None:
+        self.counters, self.name, self.serve, self.connections = counters, name, serve, connections
         self.pool = Pool()
         family = socket.AF_INET6 if ":" in listen[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)
@@ -120,6 +128,9 @@
                 self.counters.add(f"{self.name}.accept_error.{err.errno}")
                 sleep(0.05)  # out of descriptors, most likely: let some come free
                 continue
+            if len(self.pool) >= self.most:
+                self._make_room()
+                sleep(0)  # whoever is let go takes leave
             if len(self.pool) >= self.most:
                 self.counters.add(f"{self.name}.turned_away")
                 end(sock)
@@ -128,20 +139,46 @@
             tune(sock)
             self.pool.spawn(self.serve, sock)
 
+    def _make_room(self) -> None:
+        now = clock()
+        least = min(self.connections, key=lambda connection: connection.missed(now), default=None)
+        if least is not None and least.missed(now) != KEPT:
+            self.counters.add(f"{self.name}.let_go")
+            end(least.sock)
+
     def stop(self) -> None:
         """Accept nobody any more."""
         self.sock.close()
 
 
-def fill(buffer: Buffer, sock, idle: float, busy) -> int:
-    """Read once; 0 at the end of the connection, or after `idle` seconds in which nothing was open."""
+def missed(now: int, since: int, last: int, asked: bool, busy: bool) -> tuple[int, int]:
+    """How much a client's connection would be missed; where room is needed, the least goes.
+
+    Guards against crowds that say nothing, or ask once and stay, keeping others out: first goes what will not
+    be used again, then who has never said anything whole."""
+    if not asked and now - since > NEW:
+        return 1, since
+    return (0, last) if asked and not busy and now - last > UNUSED else KEPT
+
+
+class Idle(Exception):
+    """Nothing has come for too long."""
+
+
+def left(since: int, seconds: float) -> float:
+    """What is left of so many seconds; once there is nothing, nobody needs to wait any longer."""
+    rest = seconds - (clock() - since) / 1e6
+    if rest <= 0:
+        raise Idle
+    return rest
+
+
+def fill(buffer: Buffer, sock, patience: Callable[[], float]) -> int:
+    """Read once; 0 at the end of the connection. `patience`: seconds to wait for more, asked again when they
+    have passed; it raises once nobody needs to wait any longer."""
     while True:
-        try:
-            with Timeout(idle):
-                return buffer.fill(sock)
-        except Timeout:
-            if not busy():
-                return 0
+        with Timeout(patience(), False):
+            return buffer.fill(sock)
 
 
 def flush(connections: set, seconds: float) -> None:
@@ -164,14 +201,15 @@
 def drain(sock, writer: Writer) -> None:
     """Close our side behind the last words, and read on for a while.
 
-    Guards against the reset that closing with bytes unread would send: it may overtake the last words."""
+    Guards against the reset that closing with bytes unread would send: it may overtake the last words.
+    Whoever sends 60 MB is heard to the end, into one piece of memory for all, and keeps nobody waiting."""
     writer.close()
     with Timeout(DRAIN, False):
-        writer.greenlet.join()
+        writer.flushed.wait()
         try:
             sock.shutdown(socket.SHUT_WR)
-            while sock.recv(65536):
-                pass
+            while sock.recv_into(WASTE):
+                sleep(0)
         except OSError:
             pass
 
--- a/cypressledge/service.py
+++ b/cypressledge/service.py
@@ -13,9 +13,11 @@
 from cypressledge.net.clickhouse import ChFront, ChLink
 from cypressledge.net.directory import Catalogue
 from cypressledge.net.dnssd import DnsSd
+from cypressledge.net.http import BODIES
 from cypressledge.tenants import TenantError, Tenants
 
 WIRE = "clickhouse"
+ADMINS_MOST = 16
 CLIENTS_MOST = 128  # client connections over HTTP, where the descriptors allow as many
 
 
@@ -98,7 +100,10 @@
     def limit(self, limits: Limits) -> None:
         """Take what the deployment allows."""
         self.link.limits = limits
-        self.front.server.listener.most = min(CLIENTS_MOST, limits.sockets // 4)
+        self.front.server.listener.most = min(CLIENTS_MOST, limits.sockets // 10)
+        if self.admin is not None:
+            self.admin.server.listener.most = min(ADMINS_MOST, limits.sockets // 32)
+        BODIES.most = limits.spare // 8
 
     def check(self, told: ServiceConfig) -> None:
         """Whether this can be taken without a restart."""
--- a/tests/test_clickhouse.py
+++ b/tests/test_clickhouse.py
@@ -447,3 +447,35 @@
                 self.assertEqual(broker.process.wait(WAIT), 2)
                 self.assertIn(word, broker.words())
                 self.assertEqual(len(broker.words().splitlines()), 1)
+
+
+class ServiceDays(Service):
+    """What must hold on days of service, on this front as on the other."""
+
+    def test_clients_that_say_nothing_or_half_are_let_go(self):
+        self.service(self.engine(kind=ChEngine))
+        with socket.create_connection(("127.0.0.1", self.port), 3.5) as quiet:
+            self.assertEqual(quiet.recv(1), b"")
+        with socket.create_connection(("127.0.0.1", self.port), WAIT) as half:
+            half.sendall(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nSEL")
+            self.assertIn(b" 408 ", half.recv(4096))
+
+    def test_id_open_on_the_other_front_is_an_error(self):
+        engine = self.engine(silent)
+        broker = self.service(lines=[engine])
+        client = self.client(broker)
+        client.ask(id="00000000000000aa")
+        until(lambda: engine.wants, "the attempt")
+        self.assertEqual(self.code(query_id="00000000000000aa"), (500, 216))
+
+    def test_reload_takes_the_service_file_too(self):
+        broker = self.service(self.engine(kind=ChEngine))
+        file = broker.path.parent / "service.toml"
+        good = file.read_text()
+        file.write_text(good.replace("[[tenant]]", "[[tenant]]\nmost_open = -1"))
+        self.assertIn("stays in force", broker.reload()[-1])
+        self.assertEqual(self.ask()[0], 200)
+        file.write_text(good.replace('name = "sales"', 'name = "desk"'))
+        broker.reload()
+        self.assertEqual(self.code(), (403, 516))
+        self.assertEqual(self.ask(login=LOGIN | {"X-ClickHouse-User": "desk"})[0], 200)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,6 +1,7 @@
 """The core's ledger alone, for what the module of today does not do but the ledger must stand."""
 
 import unittest
+import weakref
 
 from cypressledge import contract as c
 from cypressledge.core import LATE, Core, Place, Query, clock
@@ -82,6 +83,27 @@
         self.settle()
         self.assertEqual((self.request.query.statement, self.core.held), (b"", 0))
 
+    def test_nothing_keeps_what_has_been_answered(self):
+        """Alarms live until the deadline: on a long day what they kept was the most of the memory."""
+        attempt = self.send()
+        attempt.carrier = Told()
+        kept = [weakref.ref(x) for x in (self.reply, attempt.carrier)]
+        self.core.ended(attempt, c.Outcome.OK, b"a\n")
+        del attempt, self.reply
+        self.link.words.clear()
+        self.settle()
+        self.assertEqual([ref() for ref in kept], [None, None])
+        for _, _, what, arg in self.core.alarms:
+            what(arg)  # and the alarms themselves stand it
+
+    def test_engines_that_are_gone_are_forgotten(self):
+        for n in range(50):
+            entry = c.Entry(n, c.State.READY, 0, 0, 0, 0)
+            place = Place(n, f"s-{n}", ("127.0.0.1", 1), "lines")
+            self.core.listed("lines", c.ListKind.FULL, [(entry, place)])
+        self.settle()
+        self.assertEqual(list(self.core.places), [49])
+
     def test_withdrawn_call_is_owed_no_refusal(self):
         """The module may give up on a request in the tick in which its client withdraws it."""
         client = Told()
--- a/tests/test_service_days.py
+++ b/tests/test_service_days.py
@@ -1,6 +1,8 @@
 """Days of service, beside calm ones: new configurations, bad clients, bad peers, engines that come and go."""
 
-from tests.stands import ROW, SETTINGS, Case, NameServer, content, until, whole
+import time
+
+from tests.stands import ROW, SETTINGS, WAIT, Case, NameServer, Rpc, content, silent, until, whole
 
 
 class Reload(Case):
@@ -81,3 +83,178 @@
         client.ask()
         self.assertEqual(content(client.get()), ROW)
         self.assertEqual(len(second.wants), 1)
+
+
+class BadClients(Case):
+    """Each is owed a refusal, an error or a close within 3 s, and the usual clients notice nothing."""
+
+    def setUp(self):
+        self.engine_ = self.engine()
+        self.served = self.broker(self.engine_)
+        self.usual = self.client(self.served)
+        self.usual.ask()  # whoever has been answered may stay
+        self.usual.get()
+        self.engine_.wants.clear()
+
+    def tearDown(self):
+        self.usual.ask()
+        self.assertEqual(content(self.usual.get()), ROW)
+
+    def said(self, client):
+        """What the client is told, until the close; None if neither came in time."""
+        client.sock.settimeout(WAIT)
+        began, words = time.monotonic(), []
+        while (word := client.get()) is not None:
+            words.append(word)
+        self.assertLess(time.monotonic() - began, 3.5)
+        return words
+
+    def test_those_that_say_nothing_or_half_are_let_go(self):
+        quiet, half, trickling, back = (self.client(self.served) for _ in range(4))
+        half.raw(b"", b"Content-Length: 90\r\n\r\n{")
+        trickling.raw(b"", b"Content")
+        back.ask(wait=2900)  # and takes back all that it asked
+        back.raw(b'{"jsonrpc":"2.0","method":"withdraw","params":{"id":1}}')
+        self.assertEqual(self.said(quiet), [])
+        self.assertEqual([w["error"]["code"] for w in self.said(half)], [-32600])
+        self.assertEqual([w["error"]["code"] for w in self.said(trickling)], [-32600])
+        self.said(back)
+
+    def test_client_that_has_been_answered_may_stay_idle(self):
+        self.usual.sock.settimeout(4.0)
+        with self.assertRaises(TimeoutError):
+            self.usual.sock.recv(1)
+
+    def test_huge_body_is_heard_out_so_that_the_error_can_be_read(self):
+        client = self.client(self.served)
+        client.raw(bytes(1 << 20) * 60, b"Content-Length: 62914560\r\n\r\n")
+        self.assertEqual([w["error"]["code"] for w in self.said(client)], [-32600])
+
+    def test_what_an_engine_cannot_use_never_reaches_one(self):
+        client = self.client(self.served)
+        for method, change in (
+            ("lookup", {"once": "ab" * 16}), ("order-load", {"once": "a=b"}), ("order-load", {"once": 7}),
+            ("lookup", {"wait": 0}), ("lookup", {"wait": 1e7}), ("lookup", {"wait": True}),
+            ("lookup", {"wait": 10**400}), ("lookup", {"cost": -1}), ("lookup", {"cost": float("nan")}),
+            ("lookup", {"mem": 1e30}), ("lookup", {"retry": "x"}), ("lookup", {"content": ""}),
+            ("lookup", {"content": "AAA="}), ("lookup", {"content": "/w=="}), ("lookup", {"id": "AB" * 8}),
+        ):
+            with self.subTest(change):
+                if client.number % 10 == 9:
+                    client = self.client(self.served)
+                client.ask(method, **change)
+                self.assertEqual(client.get()["error"]["code"], -32602)
+        self.assertFalse(self.engine_.wants)
+
+    def test_id_of_an_open_request_is_an_error_on_any_connection(self):
+        self.engine_.play = silent
+        first, second = self.client(self.served), self.client(self.served)
+        first.ask(id="00000000000000aa")
+        until(lambda: self.engine_.wants, "the attempt")
+        second.ask(id="00000000000000aa", statement=b"SELECT 2 FROM sales_1.t")
+        self.assertEqual(second.get()["error"]["code"], -32602)
+        self.engine_.play = whole
+
+    def test_endless_errors_end_the_connection(self):
+        client = self.client(self.served)
+        for _ in range(40):
+            client.send("nothing")
+        self.assertLess(len(self.said(client)), 40)
+
+    def test_numbers_that_skip_are_not_all_remembered(self):
+        from cypressledge.net.jsonrpc import SKIPPED_MOST, Used
+        used = Used()
+        for number in range(2, 50_000, 2):
+            self.assertTrue(used.add(number))
+            self.assertFalse(used.add(number))
+        self.assertLessEqual(len(used.above), SKIPPED_MOST)
+
+
+class Crowds(Case):
+    def test_crowd_that_says_nothing_keeps_nobody_out(self):
+        broker = self.broker(self.engine(), change={
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 50}})
+        crowd = [self.client(broker) for _ in range(60)]
+
+        def served():
+            client = Rpc(broker.port)
+            self.addCleanup(client.close)
+            client.ask()
+            try:
+                return client.get()
+            except OSError:
+                return None
+        until(served, "a place among the crowd")
+        self.assertTrue(crowd)
+
+
+class BadPeers(Case):
+    """Spoilt answers have run: never passed on, and asked for again only as class and ration allow."""
+
+    def ask(self, raw, **more):
+        """Answer the first attempt with these bytes and the next ones well; what the client is told."""
+        def play(engine, say, name, fields, statement):
+            if len(engine.wants) > 1:
+                return whole(engine, say, name, fields, statement)
+            engine.wants[0][0].sendall(raw.replace(b"ID", name.encode()))
+
+        engine = self.engine(play)
+        client = self.client(self.broker(engine))
+        client.ask(**more)
+        return client.get(), engine
+
+    def test_spoilt_answers_are_not_passed_on(self):
+        for raw in (
+            b"ID 200 count=1 4\r\na\tb\n\r\n", b"ID 200 count=1 8\r\n1\tb\t2.5\r\n",
+            b"ID 200 count=1 6\r\n\xff\tb\tc\n\r\n", b"ID 200 count=0 0\r\n\r\n", b"ID 200 - 0\r\n\r\n",
+            b"ID 200 count=9999 6\r\na\tb\tc\n\r\n", b"ID 200 count=1 7\r\na\tb\tc\n\r\n",
+            b"ID 200 count=1 -6\r\na\tb\tc\n\r\n", b"ID 200 count=1 3000000000\r\n" + b"a\tb\tc\n" * 9000,
+            b"ID 200 count 6\r\na\tb\tc\n\r\n", b"ID 999 - 0\r\n\r\n", b"\0\x80noise\r\n", b"x" * 9000,
+            b"ID status note=done,reading=nan 0\r\n\r\n", b"ID status note=done 0\r\n\r\n",
+            b"ID chunk pos=1 6\r\na\tb\tc\n\r\n",
+            b"ID 200 count=2 6\r\na\tb\tc\n\r\nID chunk pos=2 0\r\n\r\n",
+            b"ID 200 count=1 60\r\na\tb",  # and no more: cut short
+        ):
+            with self.subTest(raw[:50]):
+                answer, engine = self.ask(raw)
+                self.assertEqual(content(answer), ROW)
+                self.assertIsNot(engine.wants[0][0], engine.wants[1][0])
+
+    def test_second_copies_and_unknown_ids_are_ignored(self):
+        good = b"ID 200 count=1 %d\r\n%s\r\n" % (len(ROW), ROW)
+        answer, engine = self.ask(good.replace(b"ID", b"0" * 16) + good + good)
+        self.assertEqual((content(answer), len(engine.wants)), (ROW, 1))
+        first = b"ID 200 count=2 6\r\na\tb\tc\n\r\n"
+        answer, engine = self.ask(first + first + b"ID chunk pos=1 6\r\nd\te\tf\n\r\n" * 2)
+        self.assertEqual((content(answer), len(engine.wants)), (b"a\tb\tc\nd\te\tf\n", 1))
+
+    def test_spoilt_answer_takes_nobody_elses_work_along(self):
+        def play(engine, say, name, fields, statement):
+            if len(engine.wants) == 1:
+                until(lambda: len(engine.wants) > 2, "the repeat of the spoilt one")
+            elif len(engine.wants) == 2:
+                return engine.wants[1][0].sendall(b"noise\r\n")
+            whole(engine, say, name, fields, statement)
+
+        engine = self.engine(play)
+        client = self.client(self.broker(engine))
+        client.ask("order-load", once="ab" * 16, wait=15000)
+        until(lambda: engine.wants, "the first attempt")
+        client.ask()
+        self.assertEqual([content(client.get()) for _ in "ab"], [ROW, ROW])
+        self.assertEqual(len(engine.wants), 3)
+
+    def test_answer_that_never_comes_is_asked_for_again(self):
+        """Its connection is silent while the engine tells notes on another one."""
+        def play(engine, say, name, fields, statement):
+            if len(engine.wants) == 2:
+                return until(lambda: say(name, "status") or len(engine.wants) > 2, "a repeat")
+            if len(engine.wants) == 3:
+                whole(engine, say, name, fields, statement)
+
+        engine = self.engine(play)
+        client = self.client(self.broker(engine))
+        client.ask("report", wait=20000)
+        until(lambda: engine.wants, "the first attempt")
+        client.ask("report", wait=20000)
+        self.assertEqual((client.get()["id"], engine.wants[2][1]), (1, engine.wants[0][1]))
