Single resets hold no engine off and make none cold; unsent attempts change connection

Cause: control.py _judge took one RESET with nothing else out for a restart: off for a second and cold for 14 s, so that nearly all engines were on a cold engine's budget. Ruled out: CPU (0.3 at most), descriptors (91 of 384). 206 of 1,873 connections were reset while a request came: one connection an attempt meets more of these.

Now: only a refused connection makes an engine cold; three resets without an answer between, and nothing left out, hold it off until its next trial. A connection reset in its handshake or before anything left moves its attempts to another one, up to 3 times, without using up an attempt.

--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -52,6 +52,7 @@
 SILENCE_LEAST = 400 * MS  # shortest silence that tells, and age from which attempts there are moved
 WITNESSES = 3  # answers of other engines that tell one engine's silence from silence everywhere
 TRIAL = 1_000 * MS  # interval of single tries at an engine that is held off
+RESETS = 3  # resets with no answer between, and nothing left out, that tell a process has ended
 RUNAWAY = 3.0  # an attempt is given up when its rest is over this multiple of a fresh start
 DUE_MARGIN = 30 * MS  # final answers go out this long before the client gives up
 
@@ -78,7 +79,7 @@
         self.held_off = False
         self.sent, self.sent_work = deque(), 0
         self.holds, self.seen_held = {}, {}
-        self.queue_waited, self.met, self.missed = False, 0, 0
+        self.queue_waited, self.met, self.missed, self.resets = False, 0, 0, 0
 
 
 class Request:
@@ -148,11 +149,7 @@
         """Ask for the next timer; with nothing out, waiting or resting there is none."""
         if not self.requests:
             return
-        at = self.next_sweep
-        if self.dues:
-            at = min(at, self.dues[0][0])
-        if self.rests:
-            at = min(at, self.rests[0][0])
+        at = min([self.next_sweep, *(heap[0][0] for heap in (self.dues, self.rests) if heap)])
         if self.wake_at <= self.now or at < self.wake_at:
             self.wake_at = max(at, self.now + self.s.tick)
             self._do(Timer(self.wake_at - self.now))
@@ -176,8 +173,7 @@
             elif entry.born > e.born:
                 e.slow, e.held_off = 1.0, False
             e.state, e.born = entry.state, entry.born
-            if entry.born:
-                e.cold_until = max(e.cold_until, entry.born + self.s.warm_within)
+            e.cold_until = max(e.cold_until, entry.born and entry.born + self.s.warm_within)
         if news.kind is not ListKind.DELTA:
             listed = {entry.engine for entry in news.entries}
             for e in self.engines.values():
@@ -324,7 +320,7 @@
     def _judge(self, e: Engine, r: Request, a: Ended) -> None:
         """Learn from one outcome: costs, needs, the engine's pace and health."""
         if a.outcome is Outcome.OK:
-            e.heard = self.now
+            e.heard, e.resets = self.now, 0
             self.count += 1
             if e.held_off:
                 e.held_off = False
@@ -352,13 +348,17 @@
         elif a.outcome is Outcome.FULL:
             e.full_until = self.now + FULL_MEMORY
             e.bound = max(min(e.bound, e.threads), e.start / 2)
-        elif a.outcome is Outcome.CONNECT_FAILED or a.outcome is Outcome.RESET and not e.out:
-            # A restart that the list does not tell of yet: off until it answers, then cold. A single reset
-            # beside attempts that live on is the path's trouble, not the engine's.
+        elif a.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+            # A process that has ended resets all it had and refuses what is new: off until it answers, and
+            # cold if it was seen to refuse. Single resets are the path's trouble, not the engine's.
+            e.resets += 1
+            if a.outcome is Outcome.CONNECT_FAILED:
+                e.cold_until = self.now + self.s.warm_within
+            elif e.out or e.resets < RESETS:
+                return
             if not e.held_off:
-                self._do(Log(f"engine {e.id:x} broke its connections: held off, then taken as cold"))
+                self._do(Log(f"engine {e.id:x} broke its connections: held off until it answers"))
             e.held_off, e.trial_at = True, self.now + TRIAL
-            e.cold_until = self.now + self.s.warm_within
 
     def _pace_of(self, e: Engine) -> None:
         """Slowdowns: an engine's answers beside one at the pace of all, and those beside an unslowed one."""
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -140,6 +140,7 @@
     until: int
     open: bool = True
     carrier: object = None
+    carried: int = 0  # connections it was put on in vain
     unread: int = 0  # bytes of rows on their way to the core
 
     @property
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -16,6 +16,8 @@
 RESULT_MOST = 48_000
 PAGES_MOST = 64  # of one result: pages hold whole rows, so they are seldom less than half full
 COLUMNS = 3
+SHARE = 8  # attempts on one connection before another is opened; more only once descriptors run out
+CARRIED_MOST = 3  # connections that an attempt may be put on before it has left
 PART = 1.0  # seconds from the first byte of an answer to its last
 WATCH = 60.0  # seconds; how long one read may wait is no matter here
 UNSENT_MOST = 500_000  # µs a send may wait for its connection; then it is not sent at all
@@ -66,13 +68,14 @@
         return sum(map(len, self.connections.values()))
 
     def send(self, attempt: Attempt) -> None:
-        """Carry the attempt on a connection of its own while there are descriptors, else on the emptiest.
+        """Carry the attempt on the emptiest connection; a new one where that has its share already.
 
-        Guards against one spoilt answer, which ends its connection, taking the work of others with it."""
+        Guards against one spoilt answer, which ends its connection, taking all work at its engine along, and
+        against opening many: of new connections some are reset with what they carry."""
         word, place = attempt.query.id.encode(), attempt.place
         usable = [c for c in self.connections.get(place.id, ()) if c.admits(word, place)]
         connection = min(usable, key=lambda c: (len(c.exchanges), -c.used), default=None)
-        if (connection is None or connection.exchanges) and self.count() < self.most:
+        if (connection is None or len(connection.exchanges) >= SHARE) and self.count() < self.most:
             connection = Connection(self, place)
             self.connections.setdefault(place.id, []).append(connection)
         if connection is None:
@@ -81,6 +84,18 @@
         else:
             connection.carry(attempt, word)
 
+    def again(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Carry an attempt that never left its connection on another one, a few times.
+
+        Guards against connections that are reset when new: nothing has run, so no attempt is used up."""
+        attempt.carried += 1
+        attempt.carrier = None
+        if attempt.carried < CARRIED_MOST and attempt.place.id in self.core.ready:
+            self.core.counters.add("carried_again")
+            self.send(attempt)
+        else:
+            self.core.ended(attempt, outcome)
+
     def cancel(self, attempt: Attempt) -> None:
         """Give the attempt up."""
         if attempt.carrier is not None:
@@ -150,7 +165,7 @@
         Only a connection that is silent while its engine speaks on another one has lost something; an engine
         that is silent altogether is the module's to judge."""
         notes, now = self.link.limits.notes_us, clock()
-        return (0 < self.unheard < now - int(notes * LOST_NOTES) and notes > 0
+        return (self.exchanges and 0 < self.unheard < now - int(notes * LOST_NOTES) and notes > 0
                 and heard > now - int(notes * WITNESS))
 
     def carry(self, attempt: Attempt, word: bytes) -> None:
@@ -220,6 +235,8 @@
         if self.exchanges.get(exchange.word) is exchange:
             del self.exchanges[exchange.word]
         self.used = clock()
+        if not self.exchanges and not self.suspect():
+            self.unheard = 0  # what was called off early owes no word
 
     def _end(self, exchange: Exchange, outcome: Outcome, rows: bytes = b"") -> None:
         self._settle(exchange)
@@ -234,7 +251,12 @@
         self.core.counters.add(f"engine_close.{why.split(':')[0].replace(' ', '_')}")
         self.link.drop(self)
         for exchange in list(self.exchanges.values()):
-            self._end(exchange, outcome if exchange.sent or outcome is not Outcome.RESET else Outcome.MOOT)
+            if exchange.sent or outcome is Outcome.CONNECT_FAILED:
+                self._end(exchange, outcome)
+            else:
+                self._settle(exchange)
+                exchange.dropped = True
+                self.link.again(exchange.attempt, Outcome.MOOT)
         if self.writer is not None:
             self.writer.close()
         if self.sock is not None:
@@ -244,6 +266,9 @@
         try:
             with Timeout(self.link.limits.connect_s):
                 self.sock = socket.create_connection(self.place.address)
+        except ConnectionResetError:
+            self.close("reset when new")
+            return
         except (OSError, Timeout):
             self.close("connect failed", Outcome.CONNECT_FAILED)
             return
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -4,9 +4,11 @@
 import weakref
 
 from cypressledge import contract as c
+from cypressledge.config import Limits
 from cypressledge.core import LATE, Core, Place, Query, clock
 from cypressledge.counters import Counters
 from cypressledge.net.jsonrpc import Call
+from cypressledge.net.lines import CARRIED_MOST, LinesLink
 from cypressledge.settings import settings_of
 from tests.stands import SETTINGS
 
@@ -104,6 +106,19 @@
         self.settle()
         self.assertEqual(list(self.core.places), [49])
 
+    def test_attempt_that_never_left_its_connection_goes_to_another(self):
+        """A connection reset when new proves nothing about the engine, and uses up no attempt."""
+        link = self.core.links["lines"] = LinesLink(self.core, Limits(64, 64, 32, 0.25, 30.0, 0, 0))
+        link.most = 8
+        attempt = self.send()
+        for _ in range(CARRIED_MOST):
+            self.assertTrue(attempt.open)
+            self.assertEqual(len(self.request.attempts), 1)
+            attempt.carrier.connection.close("reset when new")
+            self.settle()
+        self.assertFalse(attempt.open)
+        self.assertEqual(self.core.events[-1].outcome, c.Outcome.MOOT)
+
     def test_withdrawn_call_is_owed_no_refusal(self):
         """The module may give up on a request in the tick in which its client withdraws it."""
         client = Told()
