An engine that answers errors while others do not is held off

It had the fewest queries out, so control.py gave it the most; ERROR taught _judge nothing. Now each engine's part of errors is kept; over a quarter, and over the others' by twice, it is held off and tried once a second. Errors everywhere (bad clients' queries) hold nobody off, nor is more than half the fleet held.

Two tests, one fails without it, the other guards the guard.

--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -57,6 +57,7 @@
 SILENCE_LEAST = 400 * MS  # shortest silence that tells, and age from which attempts there are moved
 WITNESSES = 3  # answers of other engines that tell one engine's silence from silence everywhere
 TRIAL = 1_000 * MS  # interval of single tries at an engine that is held off
+ERRORS = 0.25  # part of an engine's answers that are errors, from which it is held off
 RESETS = 2  # resets with no answer between, and nothing left out, that tell a process has ended
 RUNAWAY = 3.0  # an attempt is given up when its rest is over this multiple of a fresh start
 DUE_MARGIN = 30 * MS  # final answers go out this long before the client gives up
@@ -84,7 +85,7 @@
         self.held_off = False
         self.sent, self.sent_work = deque(), 0
         self.holds, self.seen_held = {}, {}
-        self.queue_waited, self.met, self.missed, self.resets = False, 0, 0, 0
+        self.queue_waited, self.met, self.missed, self.resets, self.errors = False, 0, 0, 0, 0.0
 
 
 class Request:
@@ -333,13 +334,15 @@
 
     def _judge(self, e: Engine, r: Request, a: Ended) -> None:
         """Learn from one outcome: costs, needs, the engine's pace and health."""
+        if a.outcome in (Outcome.OK, Outcome.ERROR):
+            e.errors += EWMA * ((a.outcome is Outcome.ERROR) - e.errors)
         if a.outcome is Outcome.OK:
             e.heard, e.resets = self.now, 0
             if r.spec.waits:
                 e.seen_held.pop(r.group, None)  # it ran, so no load holds the group there now
             self.count += 1
             if e.held_off:
-                e.held_off = False
+                e.held_off, e.errors = False, min(e.errors, ERRORS / 2)
                 self._do(Log(f"engine {e.id:x} answers again"))
             work = a.work if self.s.tells_cost and a.work else r.cost or a.latency * r.spec.threads
             c = r.cls
@@ -361,6 +364,13 @@
                 e.met += 1
             else:
                 e.missed += 1
+        elif a.outcome is Outcome.ERROR:
+            # Guards against an engine that answers errors at once, and so has the fewest queries and is given
+            # the most. Errors everywhere are the queries' own; half the fleet is never held off.
+            others = sum(o.errors for o in self.order if o is not e) / max(len(self.order) - 1, 1)
+            if e.errors > ERRORS + 2.0 * others and not e.held_off and self._may_hold():
+                e.held_off, e.trial_at = True, self.now + TRIAL
+                self._do(Log(f"engine {e.id:x} answers errors where others do not: held off"))
         elif a.outcome is Outcome.FULL:
             e.full_until = self.now + FULL_MEMORY
             e.bound = max(min(e.bound, e.threads), e.start / 2)
@@ -461,7 +471,6 @@
 
     def _sweep(self) -> None:
         """Look at running work: engines under pressure or silent, and work near its aim."""
-        held = sum(e.held_off for e in self.order)
         self.loads += EWMA / 2 * (sum(sum(e.holds.values()) for e in self.order) - self.loads)
         for e in self.order:
             if not e.out:
@@ -486,8 +495,7 @@
             # answered meanwhile, and half the fleet is never held off. Hurts an engine far slower than all.
             if missing > SILENCE and not e.held_off and self.now - e.heard > SILENCE_LEAST:
                 others = sum(o.heard > self.now - SILENCE_LEAST for o in self.order)
-                if others >= min(WITNESSES, len(self.order) - 1) > 0 and 2 * (held + 1) <= len(self.order):
-                    held += 1
+                if others >= min(WITNESSES, len(self.order) - 1) > 0 and self._may_hold():
                     e.held_off, e.trial_at = True, self.now + TRIAL
                     self._do(Log(f"engine {e.id:x} is silent while others answer: held off"))
             if e.held_off:
@@ -495,6 +503,10 @@
                     if self.now - r.sent_at > SILENCE_LEAST and not r.over:
                         self._move(r)
 
+    def _may_hold(self) -> bool:
+        """One more engine held off is at most half the fleet."""
+        return 2 * (sum(e.held_off for e in self.order) + 1) <= len(self.order)
+
     def _control(self) -> None:
         """The PI loop: odds of neighbour classes from the error of their mean waits' ratio."""
         for c, queue in enumerate(self.queues):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -96,6 +96,31 @@
     assert f.manager.engines[1].cold_until == f.now + 10 * S
 
 
+def test_engine_that_answers_errors_at_once_is_held_off():
+    """It has the fewest queries out, so it would be given the most."""
+    f = Fleet(engines=3)
+    for request in range(200):
+        f.arrive(request)
+        bad = f.engine_of(request) == 1
+        f.end(request, Outcome.ERROR if bad else Outcome.OK, final=True)
+    assert f.manager.engines[1].held_off
+    assert sum(s.engine == 1 for s in f.sends) < 10
+    f.run(S)
+    for request in range(200, 203):
+        f.arrive(request)
+        f.end(request)
+    assert not f.manager.engines[1].held_off
+
+
+def test_errors_everywhere_hold_nobody_off():
+    """They are the queries' own."""
+    f = Fleet(engines=3)
+    for request in range(200):
+        f.arrive(request)
+        f.end(request, Outcome.ERROR if request % 2 else Outcome.OK, final=True)
+    assert not any(e.held_off for e in f.manager.order)
+
+
 def test_loads_and_what_waits_for_them_keep_to_engines_of_their_own():
     """No manager knows the others' loads: all keep a group's loads to the same engines by rank."""
     load = ClassSettings(aim=4 * S, deadline=20 * S, is_load=True)
