A full engine gets what it had when it was full, and single tries past that

Traced: two engines of five had few sessions for 10 s; up to 380 'full' in 2 s at one beside 33 answers. Each refusal cost a further attempt, and the ration of 10 in 100 was soon gone. Ruled out: the others' load (they answered on time). Lines at fault: control.py _judge let the bound fall to half its start at the least, far above what the engine took; _place let an engine with nothing out have one more at any time.

Now what was out when it refused is the most for 2 s, with one try past it each 250 ms; what it answers raises that again.

--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -30,6 +30,7 @@
 EASY = 1.4  # slowdown under which the bound may grow: short work meets its aims long after the rest slows
 SLOW = 2.0  # slowdown from which the bound shrinks
 FULL_MEMORY = 2_000 * MS  # a full refusal counts as pressure this long
+FULL_TRY = 250 * MS  # interval of single tries past the places an engine had when it was last full
 SWEEP = 100 * MS  # interval of the looks at running and waiting work; short against the shortest aims
 REPORT_WEIGHT = 2.0  # of the others' reported load against own threads a core: own work is only a sample
 REPORT_AGE = 2_000 * MS  # age at which a load report counts half: about as long as the dearer work runs
@@ -84,6 +85,7 @@
         self.threads, self.needs = 0, 0.0
         self.slow = self.late = 1.0
         self.lat_sum = self.run_sum = 0.0
+        self.full_room = self.full_try = 0
         self.heard = self.full_until = self.trial_at = self.cold_until = self.load = self.load_at = 0
         self.held_off = False
         self.sent, self.sent_work = deque(), 0
@@ -247,14 +249,15 @@
         """Engines that a load leaves to its group's queries; those that such a query would stand still at.
 
         Guards against queries of a group of which loads run everywhere, nearly all the time: they would stand
-        still at every engine, and so would what is moved. Half the fleet out of work bars nothing."""
+        still at every engine, and so would what is moved. With nobody else in full work nothing is barred."""
         free = set(self._ranks(r.group)[:ceil(LEFT_FREE * len(self.order))])
         if r.spec.is_load:
             barred, rest = free, [e for e in self.order if e not in free]
         else:
             barred, rest = {e for e in self.order if e not in free and (
                 e.holds.get(r.group, 0) or e.seen_held.get(r.group, 0) > self.now)}, free
-        return barred if any(not e.held_off and self.now >= e.cold_until for e in rest) else set()
+        usable = any(not e.held_off and self.now >= max(e.cold_until, e.full_until) for e in rest)
+        return barred if usable else set()
 
     def _line(self, e: Engine, r: Request) -> bool:
         """A load would soon run there: those of one group run one behind the other, at all managers together.
@@ -362,6 +365,7 @@
             e.errors += EWMA * ((a.outcome is Outcome.ERROR) - e.errors)
         if a.outcome is Outcome.OK:
             e.heard, e.resets = self.now, 0
+            e.full_room = max(e.full_room, e.threads + r.spec.threads)
             if r.spec.waits:
                 e.seen_held.pop(r.group, None)  # it ran, so no load holds the group there now
             self.count += 1
@@ -396,7 +400,8 @@
                 e.held_off, e.trial_at = True, self.now + TRIAL
                 self._do(Log(f"engine {e.id:x} answers errors where others do not: held off"))
         elif a.outcome is Outcome.FULL:
-            e.full_until = self.now + FULL_MEMORY
+            e.full_until, e.full_try = self.now + FULL_MEMORY, self.now + FULL_TRY
+            e.full_room = e.threads
             e.bound = max(min(e.bound, e.threads), e.start / 2)
         elif a.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             # A process that has ended resets all it had and refuses what is new: off until it answers, and
@@ -680,7 +685,9 @@
         once. Hurts where this gateway suddenly carries most traffic."""
         threads = e.threads + r.spec.threads
         bound = self._limit(e)
-        if threads > max(bound, 2.0 * self.least) + spare * e.start and e.out:
+        # Guards against an engine of few sessions, whose refusals would use up the ration of attempts.
+        full = self.now < e.full_until and threads > e.full_room and self.now < e.full_try
+        if full or threads > max(bound, 2.0 * self.least) + spare * e.start and e.out:
             e.queue_waited = True
             return False
         room = max(e.memory * min(1.0, bound / e.start / self.s.peers), 2.0 * self._need(r))
@@ -757,6 +764,8 @@
             e.holds[r.group] = e.holds.get(r.group, 0) + 1
         if e.held_off:
             e.trial_at = self.now + TRIAL
+        if self.now < e.full_until and e.threads > e.full_room:
+            e.full_try = self.now + FULL_TRY
         self._lane(r)
         self._do(Send(r.id, e.id))
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -234,3 +234,26 @@
     f.arrive(100, cost=10_000)
     f.arrive(101, cost=2 * S)
     assert [s.request for s in f.sends[10:]] == [100]
+
+
+def test_full_engine_gets_what_it_had_and_single_tries_past_that():
+    """Its refusals would use up the ration of attempts."""
+    f = Fleet(engines=2)
+    sent = 0
+    for request in range(1, 101):
+        f.arrive(request)
+        while sent < len(f.sends):  # whoever is sent to engine 1, this request or one that waited
+            a, sent = f.sends[sent], sent + 1
+            if a.engine == 1:
+                f.end(a.request, Outcome.FULL)
+        f.run(20_000)
+    assert 2 <= sum(a.engine == 1 for a in f.sends) <= 12  # in 2 s
+
+
+def test_full_engine_keeps_no_queries_waiting_for_it():
+    f = Fleet(settings(WAITING), engines=2)
+    free, other = f.manager._ranks(9)
+    other.seen_held[9] = f.now + 10 * S
+    free.full_until, free.full_try = f.now + 10 * S, f.now + 10 * S
+    f.arrive(1, group=9)
+    assert f.engine_of(1) == other.id
