Lost answers are missed by their notes; a group held up holds up no other

Every running attempt tells a note each 358 ms: of 7,700 answered ones none had been quiet for over 0.6 s, of the lost ones all. The connection's own guard (lines.py, all quiet for 1.7 intervals) came late and reset 55 others on the same connection. Ruled out: resets by engines, bad clients' statements. Also read: _dispatch blocked a whole class where its shortest query's group had no free engine, others' queries behind it.

Now control.py calls off what has been quiet for 1.8 intervals while its engine speaks, repeats it as class and ration allow, and does not count it as silence; where over 2 in 100 are lost, short work moves after 3 times its expected time. A class's queue has a row a group.

--- a/cypressledge/contract.py
+++ b/cypressledge/contract.py
@@ -113,6 +113,7 @@
     retry_ratio: float | None = None
     retry_free: float = 0.0
     retry_window: int = 0
+    notes: int = 0  # µs between notes of what runs; 0: there are none
 
     def __post_init__(self) -> None:
         """Reject what no site can mean, naming the field."""
--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -7,6 +7,7 @@
 import random
 from collections import deque
 from heapq import heappop, heappush
+from itertools import chain
 from math import ceil
 
 from cypressledge.contract import (
@@ -53,6 +54,7 @@
 LEFT_FREE = 0.2  # part of the engines that a group's loads are kept from
 APART = 1.0  # routing cost, to a load, of engines that its group's loads do not go to
 LINE = 0.75  # part of a load's aim that the loads ahead of it at its engine may take
+ROWS = 3  # groups of a class that may be found without a free engine in one go: looking costs time
 SHORT = 0.5  # part of the usual run time up to which work is short
 SPARE = 0.3  # part of the starting bound kept beyond it for short work
 HELD = 2.0  # routing cost of an engine where a load holds the group, in threads a core
@@ -60,6 +62,9 @@
 SILENCE_EACH = 4.0  # most that one attempt adds to it: work's own spread must not tell
 SILENCE_LEAST = 400 * MS  # shortest silence that tells, and age from which attempts there are moved
 WITNESSES = 3  # answers of other engines that tell one engine's silence from silence everywhere
+LOST_NOTES = 1.8  # intervals of notes without a word of what runs, from which its answer is lost
+LOSSES = 0.02  # part of answers lost from which short work is moved as soon as it is overdue
+OVERDUE, OVERDUE_LEAST = 3.0, 40 * MS  # silence that tells so: times its expected time, and this
 TRIAL = 1_000 * MS  # interval of single tries at an engine that is held off
 ERRORS = 0.25  # part of an engine's answers that are errors, from which it is held off
 RESETS = 2  # resets with no answer between, and nothing left out, that tell a process has ended
@@ -85,9 +90,8 @@
         self.threads, self.needs = 0, 0.0
         self.slow = self.late = 1.0
         self.lat_sum = self.run_sum = 0.0
-        self.full_room = self.full_try = 0
         self.heard = self.full_until = self.trial_at = self.cold_until = self.load = self.load_at = 0
-        self.held_off = False
+        self.held_off, self.full_room, self.full_try = False, 0, 0
         self.sent, self.sent_work = deque(), 0
         self.holds, self.seen_held = {}, {}
         self.queue_waited, self.met, self.missed, self.resets, self.errors = False, 0, 0, 0, 0.0
@@ -108,7 +112,8 @@
         self.engines: dict[int, Engine] = {}
         self.order: list[Engine] = []
         self.requests: dict[int, Request] = {}
-        self.queues, self.overdue = [[] for _ in range(n)], [[] for _ in range(n)]
+        self.queues: list[dict[int, list]] = [{} for _ in range(n)]  # a class's queue, by what may hold it up
+        self.overdue: list[dict[int, list]] = [{} for _ in range(n)]
         self.dues, self.rests = [], []
         self.keys: dict[int, deque[Request]] = {}
         self.rest_until: dict[int, int] = {}
@@ -120,7 +125,7 @@
         self.taken, self.extra = deque(), deque()
         self.next_period = self.next_sweep = self.wake_at = self.threads = 0
         self.needs = self.lat_sum = self.run_sum = self.big_need = self.mean_run = 0.0
-        self.slow, self.rate, self.loads = 1.0, 1.0, 0.0
+        self.slow, self.rate, self.loads, self.losses = 1.0, 1.0, 0.0, 0.0
         self.asked: dict[int, float] = {}
         self.ranks: dict[int, list[Engine]] = {}
         self.load, self.spread, self.held_time, self.thread_time = 0.5, 0.5, 0.0, 0.0
@@ -206,10 +211,11 @@
         if not self.usual[a.cls]:
             self.usual[a.cls] = r.cost
         r.run = r.cost / spec.threads
+        r.row = a.group if spec.waits or spec.is_load else 0
         r.aim_at = self.now + min(spec.aim + int(spec.aim_stretch * r.run), spec.deadline)
         self.mean_run += 0.01 * (r.run - self.mean_run) if self.mean_run else r.run
         r.attempts, r.engine, r.sent_at, r.maybe_at = 0, None, 0, None
-        r.waiting = r.over = r.cancelling = False
+        r.waiting = r.over = r.cancelling = r.stands = r.lost = False
         r.maybe_on = r.avoid = r.terms = None
         self.requests[r.id] = r
         self.asked[r.group] = self.asked.get(r.group, 0.0) + 1.0
@@ -282,8 +288,11 @@
 
     def _enqueue(self, r: Request) -> None:
         r.waiting = True
+        self._push(self.queues, r)
+
+    def _push(self, queues: list[dict[int, list]], r: Request) -> None:
         self.seq += 1
-        heappush(self.queues[r.cls], (r.run, self.seq, r))
+        heappush(queues[r.cls].setdefault(r.row, []), (r.run, self.seq, r))
 
     def _left(self, event: ClientLeft) -> None:
         if (r := self.requests.get(event.request)) and not r.over:
@@ -369,6 +378,7 @@
             if r.spec.waits:
                 e.seen_held.pop(r.group, None)  # it ran, so no load holds the group there now
             self.count += 1
+            self.losses -= EWMA / 10 * self.losses
             if e.held_off:
                 e.held_off, e.errors = False, min(e.errors, ERRORS / 2)
                 self._do(Log(f"engine {e.id:x} answers again"))
@@ -455,7 +465,8 @@
         r = self.requests.get(note.request)
         if r is None or r.over or r.engine is None or r.attempts - 1 != note.attempt or r.cancelling:
             return
-        r.engine.heard = self.now
+        r.engine.heard = r.told_at = self.now
+        r.stands = note.kind is NoteKind.WAITS
         age = self.now - r.sent_at
         fresh = self._expected(r)
         if note.kind is NoteKind.PROGRESS:
@@ -506,7 +517,9 @@
                 e.late = 1.0
                 continue
             ages, runs, missing, behind = 0.0, 1.0, 0.0, {}
-            for r in e.out.values():
+            for r in list(e.out.values()):
+                if self._missed(e, r):
+                    continue
                 age = self.now - r.sent_at
                 ages += max(age, r.run)
                 runs += r.run
@@ -532,14 +545,33 @@
                     if self.now - r.sent_at > SILENCE_LEAST and not r.over:
                         self._move(r)
 
+    def _missed(self, e: Engine, r: Request) -> bool:
+        """Its answer is lost, and it is called off as far as class and ration allow.
+
+        Guards against answers that never come, which hold places until the client leaves: an engine that
+        speaks tells of all it runs at each interval. Where many are lost, short work goes earlier."""
+        quiet = self.now - max(r.told_at, r.sent_at)
+        if not self.s.notes or r.over or r.cancelling or self.now - e.heard > self.s.notes:
+            return r.lost
+        if quiet > LOST_NOTES * self.s.notes:
+            self.losses += EWMA / 10 * (1.0 - self.losses) * (not r.lost)
+            r.lost = True
+            if r.spec.effect is Effect.FREE and self.now + r.run > r.aim_at and r.spec.late_worth < LITTLE:
+                self._give_up(r)
+            elif r.spec.effect is not Effect.UNSAFE and self.s.may_cancel and self._may_retry(r):
+                self._cancel(r)
+        elif self.losses > LOSSES and not r.stands and quiet > OVERDUE * self._expected(r) + OVERDUE_LEAST:
+            self._move(r)
+        return r.lost
+
     def _may_hold(self) -> bool:
         """One more engine held off is at most half the fleet."""
         return 2 * (sum(e.held_off for e in self.order) + 1) <= len(self.order)
 
     def _control(self) -> None:
         """The PI loop: odds of neighbour classes from the error of their mean waits' ratio."""
-        for c, queue in enumerate(self.queues):
-            for _, _, r in queue + self.overdue[c]:
+        for rows in self.queues + self.overdue:
+            for _, _, r in chain.from_iterable(rows.values()):
                 if r.waiting and r.attempts == 0:
                     self._waited(r)
         n = len(self.odds)
@@ -590,9 +622,9 @@
     # The draw and the choice of engine
 
     def _dispatch(self) -> None:
-        blocked = [False] * len(self.queues)
+        stuck: list[set[int]] = [set() for _ in self.queues]
         while True:
-            heads = [None if blocked[c] else self._head(c) for c in range(len(self.queues))]
+            heads = [None if len(rows) >= ROWS else self._head(c, rows) for c, rows in enumerate(stuck)]
             total = sum(self.odds[c] for c, r in enumerate(heads) if r)
             if not total:
                 return
@@ -605,40 +637,51 @@
                         break
             e = self._choose(pick)
             if e is None:
-                blocked[pick.cls] = True
+                # Guards against a group without a free engine keeping the others of its class waiting.
+                stuck[pick.cls].add(pick.row)
                 continue
-            heappop(self.queues[pick.cls] or self.overdue[pick.cls])
             if pick.attempts and not self._budget():
                 self._give_up(pick)
             else:
                 self._send(pick, e)
 
-    def _head(self, c: int) -> Request | None:
+    def _head(self, c: int, stuck: set[int]) -> Request | None:
         """Shortest first of those that can meet their aim, then the late ones worth serving."""
-        queue = self.queues[c]
+        for queues, fits, drop in (
+                (self.queues, self._timely, self._late), (self.overdue, self._worthwhile, self._give_up)):
+            rows = queues[c]
+            free = [row for row in rows if row not in stuck]
+            for row in free:
+                self._tidy(rows, row, fits, drop)
+            if heads := [rows[row][0] for row in free if row in rows]:
+                return min(heads)[2]
+        return None
+
+    @staticmethod
+    def _tidy(rows: dict[int, list], row: int, fits, drop) -> None:
+        """Take away what heads the row in vain."""
+        queue = rows[row]
         while queue:
             r = queue[0][2]
-            if not r.waiting or r.engine is not None:
-                heappop(queue)
-            elif self.now + r.run > r.aim_at:
-                heappop(queue)
-                if r.spec.late_worth and self.now + r.run < r.due and self.slow < PRESSURE:
-                    heappush(self.overdue[c], (r.run, r.id, r))
-                else:
-                    self._give_up(r)
-            else:
-                return r
-        late = self.overdue[c]
-        while late:
-            r = late[0][2]
-            if not r.waiting or r.engine is not None:
-                heappop(late)
-            elif self.now + r.run > r.due or self.slow > PRESSURE:
-                heappop(late)
-                self._give_up(r)
-            else:
-                return r
-        return None
+            owed = r.waiting and r.engine is None
+            if owed and fits(r):
+                return
+            heappop(queue)
+            if owed:
+                drop(r)
+        del rows[row]
+
+    def _timely(self, r: Request) -> bool:
+        return self.now + r.run <= r.aim_at
+
+    def _worthwhile(self, r: Request) -> bool:
+        return self.now + r.run <= r.due and self.slow <= PRESSURE
+
+    def _late(self, r: Request) -> None:
+        if r.spec.late_worth and self.now + r.run < r.due and self.slow < PRESSURE:
+            self._push(self.overdue, r)
+        else:
+            self._give_up(r)
 
     def _choose(self, r: Request) -> Engine | None:
         """The allowed engine with a free place and the fewest own threads a core; ties at random."""
@@ -748,7 +791,8 @@
         elif self.s.retry_ratio is not None:
             self.extra.append(self.now)
         r.attempts += 1
-        r.engine, r.sent_at, r.waiting = e, self.now, False
+        r.engine, r.sent_at, r.told_at, r.waiting = e, self.now, self.now, False
+        r.stands = r.lost = False
         e.out[r.id] = r
         e.threads += r.spec.threads
         self.threads += r.spec.threads
--- a/cypressledge/settings.py
+++ b/cypressledge/settings.py
@@ -61,6 +61,7 @@
             grants=bool(fam.get("TakesGrants", False)),
             priorities=bool(fam.get("Priorities", False)),
             tells_cost=bool(fam.get("CostInAnswers", False)),
+            notes=fam.get("TellsEvery", 0),
             most_grant=fam.get("LargestShare", 1.0),
             may_cancel=bool(limits["MayCancel"]),
             max_attempts=limits["MaxAttempts"],
