--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -10,12 +10,13 @@
 import signal
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 
 import gevent
 from gevent.event import Event
 
 from cypressledge.config import Config, ConfigError, read_config
-from cypressledge.contract import ListKind
+from cypressledge.contract import ListKind, Settings
 from cypressledge.core import Core
 from cypressledge.counters import Counters, log
 from cypressledge.net.buffer import GROWN
@@ -33,6 +34,12 @@
 OPEN_BYTES = 10_000  # of memory for each, its statement aside
 
 
+def _settings(config: Config, service: ServiceConfig | None) -> Settings:
+    """The module's settings. Guards against ClickHouse engines being taken for ones that lose answers: they
+    tell nothing of a query whose rows are on their way, or of which they don't know the share done."""
+    return config.settings if service is None else replace(config.settings, notes=0)
+
+
 class Broker:
     """All parts of one broker."""
 
@@ -42,7 +49,7 @@
         self.config = config
         self.counters = Counters()
         self.hello = f"{config.name}: listening on {config.listen[0]}:{config.listen[1]}"
-        self.core = Core(config.settings, config.seed, self.counters)
+        self.core = Core(_settings(config, service), config.seed, self.counters)
         self.lines = self.core.links["lines"] = LinesLink(self.core, config.limits)
         self.tenants = Tenants()
         self.front = Front(self.core, config.listen, config.classes, self.tenants, self.counters)
@@ -87,7 +94,7 @@
             return
         self.config = config
         self._limit(config)
-        self.core.reconfigure(config.settings)
+        self.core.reconfigure(_settings(config, service))
         self.catalogue.name(config.kinds, config.zones)
         self.directory.update(config.serial, config.engines)
         self.directory.move(config.dns)
--- a/tests/test_clickhouse.py
+++ b/tests/test_clickhouse.py
@@ -212,6 +212,28 @@
         self.assertIn(self.ask()[0], (500, 503))
         self.assertEqual(len(engine.asked), 3)
 
+    def test_engine_that_tells_nothing_of_a_query_has_not_lost_its_answer(self):
+        """Only engines that speak lines tell of all they run at each interval of notes."""
+        def play(engine, send, params, statement):
+            if b"slow" in statement:
+                engine.released.wait(WAIT)
+            rows(ROW)(engine, send, params, statement)
+
+        engine = self.engine(play, kind=ChEngine)
+        engine.released = threading.Event()
+        self.service(engine)
+        answers = []
+        slow = threading.Thread(target=lambda: answers.append(self.ask(b"SELECT slow", workload="report")))
+        slow.start()
+        self.addCleanup(slow.join)
+        self.addCleanup(engine.released.set)
+        begun = time.monotonic()
+        until(lambda: self.ask()[0] == 200 and time.monotonic() > begun + 2.5, "the others' answers")
+        engine.released.set()
+        until(lambda: answers, "the slow answer")
+        self.assertEqual(answers[0][0], 200)
+        self.assertEqual(sum(b"slow" in statement for _, statement, _ in engine.asked), 1)
+
     def test_deadline_is_kept(self):
         def mute(engine, send, params, statement):
             engine.closed.wait(WAIT)
