A request's marks of its attempt are set where it is sent, and only there

Found in a last reading: r.stands and r.lost were set at the arrival too, and the age of the last word took a maximum with the send that sets it.

--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -215,7 +215,7 @@
         r.aim_at = self.now + min(spec.aim + int(spec.aim_stretch * r.run), spec.deadline)
         self.mean_run += 0.01 * (r.run - self.mean_run) if self.mean_run else r.run
         r.attempts, r.engine, r.sent_at, r.maybe_at = 0, None, 0, None
-        r.waiting = r.over = r.cancelling = r.stands = r.lost = False
+        r.waiting = r.over = r.cancelling = False
         r.maybe_on = r.avoid = r.terms = None
         self.requests[r.id] = r
         self.asked[r.group] = self.asked.get(r.group, 0.0) + 1.0
@@ -550,7 +550,7 @@
 
         Guards against answers that never come, which hold places until the client leaves: an engine that
         speaks tells of all it runs at each interval. Where many are lost, short work goes earlier."""
-        quiet = self.now - max(r.told_at, r.sent_at)
+        quiet = self.now - r.told_at
         if not self.s.notes or r.over or r.cancelling or self.now - e.heard > self.s.notes:
             return r.lost
         if quiet > LOST_NOTES * self.s.notes:
