Engines out by hand: POST /maintenance/enter and exit, drained at once, kept under TMPDIR

Unknown ids 404, bad ids 400.

Tests: drain at once, over a relist, one call back for two out, 404/400/405, over a restart.

--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -23,7 +23,7 @@
 from cypressledge.net.directory import Catalogue, Directory
 from cypressledge.net.jsonrpc import Front
 from cypressledge.net.lines import LinesLink
-from cypressledge.net.management import Management
+from cypressledge.net.management import Kept, Management
 from cypressledge.net.stream import QUEUED
 from cypressledge.service import Service, ServiceConfig, read_service
 from cypressledge.tenants import Tenants
@@ -61,6 +61,9 @@
         if config.management is not None:
             self.management = Management(config.management, self.counters, self._taking)
             self.parts.append(self.management.server.listener.run)
+            self.kept = Kept(self.core, config.name)
+            self.management.add("/maintenance/enter", "POST", lambda r: self.kept.call(r, True))
+            self.management.add("/maintenance/exit", "POST", lambda r: self.kept.call(r, False))
         self.catalogue = Catalogue(config.kinds, config.zones, "lines")
         self.catalogue.tell(self.core, ListKind.CACHED, config.engines)
         self.directory = Directory(self.core, config.dns, self.catalogue, config.serial)
@@ -150,6 +153,8 @@
             gevent.sleep(TEND)
             for link in self.links:
                 link.tend()
+            if self.management is not None:
+                self.kept.look()
 
     def _broken(self, part) -> None:
         # A part that ended by an exception can't be done without: end, so that the platform starts anew.
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -22,6 +22,7 @@
 from cypressledge import contract as c
 from cypressledge.control import WorkloadManager
 from cypressledge.counters import Counters, log
+from cypressledge.maintenance import Maintenance
 
 KEY = re.compile(r"[!-+\--~]{1,128}\Z", re.A)  # a client's key: no commas or blanks, it may stand in a list
 ENGINE = re.compile(r"\bengine ([0-9a-f]+)\b")
@@ -160,7 +161,9 @@
         self.after_most, self.open_most, self.held_most = 0, 1_000, 4 << 20
         self.links: dict[str, Link] = {}
         self.places: dict[int, Place] = {}
-        self.lists: dict[str, list[tuple[c.Entry, Place]]] = {}
+        self.lists: dict[str, list[tuple[c.Entry, Place]]] = {}  # as their sources tell them
+        self.last_kind = c.ListKind.CACHED
+        self.maintenance = Maintenance()
         self.ready: set[int] = set()
         self.requests: dict[int, Request] = {}
         self.names: set[str] = set()
@@ -224,9 +227,24 @@
     def listed(self, source: str, kind: c.ListKind, engines: list[tuple[c.Entry, Place]]) -> None:
         """A source's whole list. Drain and loss count at once, also for sends still on their way."""
         self.lists[source] = engines
-        whole = [e for held in self.lists.values() for e in held]
+        self.last_kind = kind
+        self._tell()
+
+    def held_out(self, maintenance: Maintenance) -> None:
+        """Engines out by hand have changed: the module sees the lists anew, at once."""
+        self.maintenance = maintenance
+        if self.lists:
+            self._tell()
+
+    def _tell(self) -> None:
+        out = self.maintenance
+        whole = [(out.entry(p.name, e), p) for held in self.lists.values() for e, p in held]
         self.ready = {e.engine for e, _ in whole if e.state is c.State.READY}
-        self._post(self._listed, kind, whole)
+        self._post(self._listed, self.last_kind, whole)
+
+    def names_engine(self, name: str) -> bool:
+        """Whether a list names an engine of this name."""
+        return any(p.name == name for held in self.lists.values() for _, p in held)
 
     def reconfigure(self, settings: c.Settings) -> None:
         """The site's settings have changed; the classes are the same."""
--- /dev/null
+++ b/cypressledge/maintenance.py
@@ -0,0 +1,67 @@
+"""Engines out by hand: which they are, and how a list's entries look under that. Free of I/O.
+
+An engine out counts as draining whatever its list says, until it is put back; two calls out need one
+back. Operators restart an engine while it is out, so one put back is taken as born at its return:
+cold, under the module's warm-up."""
+
+import json
+from dataclasses import dataclass, field, replace
+
+from cypressledge.contract import Entry, State
+
+ID_MOST = 128
+
+
+class MaintenanceError(Exception):
+    """A call that can't be heeded; its first argument is the HTTP status."""
+
+
+@dataclass(slots=True)
+class Maintenance:
+    """Engines out by hand, by name; and those put back, with when (µs)."""
+
+    out: set[str] = field(default_factory=set)
+    back: dict[str, int] = field(default_factory=dict)
+
+    def enter(self, name: str, known: bool) -> bool:
+        """Take an engine out; whether that changed anything."""
+        self._check(name, known)
+        changed = name not in self.out
+        self.out.add(name)
+        self.back.pop(name, None)
+        return changed
+
+    def exit(self, name: str, known: bool, now: int) -> bool:
+        """Put an engine back; whether that changed anything."""
+        self._check(name, known)
+        if name not in self.out:
+            return False
+        self.out.discard(name)
+        self.back[name] = now
+        return True
+
+    def _check(self, name: str, known: bool) -> None:
+        if not name or len(name) > ID_MOST or not name.isprintable() or " " in name:
+            raise MaintenanceError(400, "no engine id")
+        if not known and name not in self.out:
+            raise MaintenanceError(404, f"no engine {name}")
+
+    def entry(self, name: str, entry: Entry) -> Entry:
+        """How the module is to see an engine that a list names."""
+        if name in self.out:
+            return replace(entry, state=State.DRAINING) if entry.state is State.READY else entry
+        born = self.back.get(name, 0)
+        return replace(entry, born=born) if born > entry.born else entry
+
+    def dump(self) -> bytes:
+        """As it is kept."""
+        return json.dumps({"out": sorted(self.out), "back": self.back}).encode()
+
+    @classmethod
+    def load(cls, raw: bytes) -> "Maintenance":
+        """As it was kept; what can't be read is an empty set."""
+        try:
+            kept = json.loads(raw)
+            return cls({str(n) for n in kept["out"]}, {str(n): int(t) for n, t in kept["back"].items()})
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+            return cls()
--- a/cypressledge/net/management.py
+++ b/cypressledge/net/management.py
@@ -4,9 +4,14 @@
 long queue of work or a stalled engine never delays an answer; slow and silent callers are the
 `HttpServer`'s, each on a greenlet of its own, with the limits it keeps for every HTTP front."""
 
+import os
+import tempfile
 from collections.abc import Callable
+from pathlib import Path
 
-from cypressledge.counters import Counters
+from cypressledge.core import Core, clock
+from cypressledge.counters import Counters, log
+from cypressledge.maintenance import Maintenance, MaintenanceError
 from cypressledge.net.http import Exchange, HttpRequest, HttpServer
 
 BODY_MOST = 256  # bytes: an engine's id
@@ -45,3 +50,61 @@
 
     def _status(self, request: HttpRequest) -> tuple[int, bytes]:
         return (200, b"taking clients\n") if self.taking() else (503, b"not taking clients\n")
+
+
+class Kept:
+    """The engines out by hand, in a file under $TMPDIR that both processes of an upgrade read and write.
+
+    Guards against a ban that ends with the process: the file is written whole, by rename, on each change,
+    and read at the start and whenever it has changed since."""
+
+    def __init__(self, core: Core, name: str, directory: str | None = None) -> None:
+        self.core = core
+        safe = "".join(ch if ch.isalnum() or ch in "-_." else "_" for ch in name)
+        self.path = Path(directory or tempfile.gettempdir()) / f"cypressledge-{safe}-maintenance.json"
+        self.seen: float | None = None
+        self.look()
+
+    def look(self) -> None:
+        """Take what the file holds, if another process has changed it."""
+        try:
+            stamp = self.path.stat().st_mtime_ns
+            if stamp == self.seen:
+                return
+            raw = self.path.read_bytes()
+        except OSError:
+            return
+        self.seen = stamp
+        kept = Maintenance.load(raw)
+        if (kept.out, kept.back) != (self.core.maintenance.out, self.core.maintenance.back):
+            log(f"maintenance: out by hand {sorted(kept.out)}")
+            self.core.held_out(kept)
+
+    def call(self, request: HttpRequest, enter: bool) -> tuple[int, bytes]:
+        """`POST /maintenance/enter` or `exit` with an engine's id as the body."""
+        self.look()
+        try:
+            name = request.body.decode("utf-8").strip()
+        except UnicodeDecodeError:
+            return 400, b"no engine id\n"
+        held, known = self.core.maintenance, self.core.names_engine(name)
+        try:
+            changed = held.enter(name, known) if enter else held.exit(name, known, clock())
+        except MaintenanceError as err:
+            status, text = err.args
+            return status, text.encode() + b"\n"
+        if changed:
+            self._save(held)
+            self.core.held_out(held)
+            log(f"maintenance: {name} {'out' if enter else 'back'}")
+        return 200, f"{name} {'out' if name in held.out else 'in'}\n".encode()
+
+    def _save(self, held: Maintenance) -> None:
+        part = self.path.with_suffix(f".{os.getpid()}")
+        try:
+            part.write_bytes(held.dump())
+            os.replace(part, self.path)
+            self.seen = self.path.stat().st_mtime_ns
+        except OSError as err:
+            self.core.counters.add("maintenance.unsaved")
+            log(f"maintenance: not kept on disk: {err}")
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import socket
+import tempfile
 import time
 
 from tests.stands import ROW, WAIT, Case, content, free_port, http, until, whole
@@ -18,9 +19,11 @@
 class Management(Case):
     """The second address answers operators whatever else the broker does."""
 
-    def operated(self, *engines, **more):
+    def operated(self, *engines, env_more=None, **more):
         port = free_port()
-        broker = self.broker(*engines, env={"ROUTER_MANAGEMENT": f"127.0.0.1:{port}"}, **more)
+        shared = self.enterContext(tempfile.TemporaryDirectory())
+        env = {"ROUTER_MANAGEMENT": f"127.0.0.1:{port}", "TMPDIR": shared}
+        broker = self.broker(*engines, env=env | (env_more or {}), **more)
         until(lambda: status(port) == 200, "the second address")
         return broker, port
 
@@ -89,3 +92,49 @@
             self.assertEqual(content(fresh.get()), ROW)
         self.assertEqual(old.process.wait(WAIT), 0)
         self.assertIsNone(new.process.poll())
+
+
+def call(port, path, body):
+    return http(port, f"POST {path} HTTP/1.1\r\nHost: b", body.encode())[0]
+
+
+class ByHand(Management):
+    """Engines out by hand: drained at once, whatever the directory says, over an upgrade too."""
+
+    def asked(self, broker, engines, n):
+        client = self.client(broker)
+        before = [len(e.wants) for e in engines]
+        for i in range(n):
+            client.ask(id=f"{i + 1:016x}")
+            self.assertEqual(content(client.get()), ROW)
+        return [len(e.wants) - b for e, b in zip(engines, before, strict=True)]
+
+    def test_engine_out_gets_nothing_new_and_comes_back(self):
+        one, two = self.engine(name="s-1"), self.engine(name="s-2")
+        broker, port = self.operated(one, two)
+        self.assertGreater(self.asked(broker, (one, two), 30)[0], 0)
+        self.assertEqual(call(port, "/maintenance/enter", "s-1"), 200)
+        self.assertEqual(call(port, "/maintenance/enter", "s-1"), 200)
+        self.assertEqual(self.asked(broker, (one, two), 30), [0, 30])
+        broker.relist(5)  # the directory lists s-1 as ready all along
+        self.assertEqual(self.asked(broker, (one, two), 20), [0, 20])
+        self.assertEqual(call(port, "/maintenance/exit", "s-1"), 200)  # one call back for two out
+        until(lambda: self.asked(broker, (one, two), 10)[0] > 0, "work for s-1 again")
+
+    def test_unknown_or_bad_ids_get_a_no(self):
+        _, port = self.operated(self.engine())
+        self.assertEqual(call(port, "/maintenance/enter", "s-9"), 404)
+        self.assertEqual(call(port, "/maintenance/exit", "nobody"), 404)
+        self.assertEqual(call(port, "/maintenance/enter", ""), 400)
+        self.assertEqual(call(port, "/maintenance/enter", "s 1\x00"), 400)
+        self.assertEqual(http(port, "GET /maintenance/enter HTTP/1.1\r\nHost: b")[0], 405)
+
+    def test_a_ban_outlives_the_process(self):
+        one, two = self.engine(name="s-1"), self.engine(name="s-2")
+        shared = self.enterContext(tempfile.TemporaryDirectory())
+        broker, port = self.operated(one, two, env_more={"TMPDIR": shared})
+        self.assertEqual(call(port, "/maintenance/enter", "s-2"), 200)
+        broker.process.send_signal(signal.SIGTERM)
+        self.assertEqual(broker.process.wait(WAIT), 0)
+        again, _ = self.operated(one, two, env_more={"TMPDIR": shared})
+        self.assertEqual(self.asked(again, (one, two), 20), [20, 0])
