Figures at GET /status/metrics: statsd lines counted where each event happens

Change: Counters.reply counts per class success/overload/error at the ledger's one answer (Core._answer) and at refusals that never reach it (no room, a full connection), and dispatches where each link hands an attempt's bytes to its socket (lines._leaves, ChExchange after sendall). net/management.py figures() renders them with concurrent, targets, targets_disabled (out by hand, draining, held off by the module) and reload_success/failure under svc.

--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -23,7 +23,7 @@
 from cypressledge.net.directory import Catalogue, Directory
 from cypressledge.net.jsonrpc import Front
 from cypressledge.net.lines import LinesLink
-from cypressledge.net.management import Kept, Management
+from cypressledge.net.management import Kept, Management, figures
 from cypressledge.net.stream import QUEUED
 from cypressledge.service import Service, ServiceConfig, read_service
 from cypressledge.tenants import Tenants
@@ -62,6 +62,8 @@
             self.management = Management(config.management, self.counters, self._taking)
             self.parts.append(self.management.server.listener.run)
             self.kept = Kept(self.core, config.name)
+            self.management.add("/status/metrics", "GET",
+                                lambda r: (200, figures(self.core, self.config.classes)))
             self.management.add("/maintenance/enter", "POST", lambda r: self.kept.call(r, True))
             self.management.add("/maintenance/exit", "POST", lambda r: self.kept.call(r, False))
         self.catalogue = Catalogue(config.kinds, config.zones, "lines")
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -26,6 +26,7 @@
 
 KEY = re.compile(r"[!-+\--~]{1,128}\Z", re.A)  # a client's key: no commas or blanks, it may stand in a list
 ENGINE = re.compile(r"\bengine ([0-9a-f]+)\b")
+OUTCOMES = {"served": "success", "refused": "overload", "failed": "error"}  # the figures' names
 OVERDUE = 10_000  # µs after the client's time at which the ledger answers what the module did not
 
 
@@ -189,6 +190,7 @@
         """Take a query; None, and a refusal at once, if there is no room or the broker is stopping."""
         if not self.taking or len(self.requests) >= self.open_most or self.held > self.held_most:
             self.counters.add("refused.no_room")
+            self.counters.reply(query.class_name, "overload")
             reply.refused(self.after_most)
             return None
         request = Request(next(self.numbers), query, reply)
@@ -454,6 +456,7 @@
         """The one final answer of a request."""
         if self.counters.invariant(not request.over, "second_answer"):
             self.counters.add(f"{how}.{request.query.class_name}")
+            self.counters.reply(request.query.class_name, OUTCOMES[how])
             getattr(request.reply, how)(*args)
             self._conclude(request)
 
--- a/cypressledge/counters.py
+++ b/cypressledge/counters.py
@@ -15,6 +15,10 @@
         """Count one more of a name."""
         self.counts[name] += n
 
+    def reply(self, cls: str, outcome: str) -> None:
+        """One more final answer, or attempt written whole (`dispatches`), of a class."""
+        self.counts[f"replies.{cls}.{outcome}"] += 1
+
     def invariant(self, holds: bool, name: str) -> bool:
         """State what must hold: a debug build stops here, a release build counts it."""
         assert holds, f"broken invariant: {name}"
--- a/cypressledge/net/clickhouse.py
+++ b/cypressledge/net/clickhouse.py
@@ -422,6 +422,7 @@
         self.sent = True
         with Timeout(max((self.attempt.until - clock()) / 1e6, 0.001)):
             self.sock.sendall(self._message(self._settings(), self.attempt.query.statement))
+        self.core.counters.reply(self.attempt.query.class_name, "dispatches")
         buffer = Buffer(READ_MOST, first=READ_MOST)
         while not self.whole and not self.cancelled:
             if not buffer.fill(self.sock):
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -244,6 +244,7 @@
         if full:  # no client that keeps to the protocol gets here
             self.faults += 1
             self.counters.add("refused.connection_full")
+            self.counters.reply(query.class_name, "overload")
             call.refused(self.core.after_most)
         else:
             call.request = self.core.take(query, call)
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -228,6 +228,7 @@
             self.core.ended(exchange.attempt, Outcome.MOOT)
             return False
         exchange.sent = True
+        self.core.counters.reply(exchange.attempt.query.class_name, "dispatches")
         self.unheard = self.unheard or clock()
         return True
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -138,3 +138,46 @@
         self.assertEqual(broker.process.wait(WAIT), 0)
         again, _ = self.operated(one, two, env_more={"TMPDIR": shared})
         self.assertEqual(self.asked(again, (one, two), 20), [20, 0])
+
+
+def metrics(port):
+    status_, body = http(port, "GET /status/metrics HTTP/1.1\r\nHost: b")
+    assert status_ == 200
+    return {name: int(value.split("|")[0]) for name, value in
+            (line.split(":") for line in body.decode().splitlines())}
+
+
+class Figures(Management):
+    """The figures count what happened, where it happened."""
+
+    def test_counts_and_gauges(self):
+        def slow(engine, say, name, fields, statement):
+            if statement.startswith(b"SELECT slow"):
+                until(lambda: engine.released, "the release")
+            whole(engine, say, name, fields, statement)
+
+        one, two = self.engine(slow, name="s-1"), self.engine(slow, name="s-2")
+        one.released = two.released = False
+        broker, port = self.operated(one, two)
+        first = metrics(port)
+        self.assertEqual(first["svc.replies.lookup.success"], 0)
+        self.assertEqual((first["svc.targets"], first["svc.targets_disabled"]), (2, 0))
+        client = self.client(broker)
+        for i in range(6):
+            client.ask(id=f"{i + 1:016x}")
+            self.assertEqual(content(client.get()), ROW)
+        held = self.client(broker)
+        held.ask("report", statement=b"SELECT slow FROM sales_17.orders", id=f"{99:016x}", wait=15000)
+        until(lambda: any(b"slow" in w[3] for e in (one, two) for w in e.wants), "the report's attempt")
+        self.assertEqual(metrics(port)["svc.concurrent"], 1)
+        call(port, "/maintenance/enter", "s-1")
+        now = metrics(port)
+        self.assertEqual(now["svc.replies.lookup.success"], 6)
+        self.assertEqual(now["svc.replies.lookup.dispatches"], 6)
+        self.assertEqual(now["svc.replies.report.dispatches"], 1)
+        self.assertEqual(now["svc.dispatches"], 7)
+        self.assertEqual((now["svc.targets"], now["svc.targets_disabled"]), (2, 1))
+        one.released = two.released = True
+        self.assertEqual(content(held.get()), ROW)
+        until(lambda: metrics(port)["svc.replies.report.success"] == 1, "the report counted")
+        self.assertEqual(metrics(port)["svc.concurrent"], 0)
