On SIGTERM over an inherited socket, client connections end once nothing is owed on them

Change: with an inherited socket, the stopping process stops accepting at once and retires each JSON-RPC connection: once nothing is owed on it our side is shut (net/jsonrpc.py Client.retire), so the client's next call meets the new process; frames after that are counted, not taken.

--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -135,8 +135,10 @@
         self.stopping.wait()
         log("stopping: no longer healthy, still serving")
         self.core.stopping = True
-        if not self.front.listener.inherited:  # an inherited socket's queue is the next process's
-            gevent.sleep(LINGER)
+        if self.front.listener.inherited:  # the socket's queue and the clients are the next process's
+            self.front.stop()
+            self.front.retire()
+        gevent.sleep(LINGER)
         for front in self.fronts:
             front.stop()
         self.core.taking = False
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -10,7 +10,7 @@
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Buffer, TooLong
 from cypressledge.net.stream import (
-    FIRST, Crowd, Idle, Listener, Writer, drain, end, fill, flush, left, missed,
+    FIRST, Crowd, Idle, Listener, Writer, drain, end, fill, flush, left, missed, shut, unread,
 )
 from cypressledge.sql import table_group
 
@@ -81,6 +81,11 @@
         """Accept nobody any more."""
         self.listener.stop()
 
+    def retire(self) -> None:
+        """Another process takes the clients: each connection ends as soon as nothing is owed on it."""
+        for client in list(self.clients):
+            client.retire()
+
     def flush(self, seconds: float) -> None:
         """Let every client's answers go out."""
         flush(self.clients, seconds)
@@ -97,7 +102,7 @@
         self.writer = Writer(sock, QUEUED_MOST, PATIENCE, self._gone)
         self.since = self.last = clock()
         self.began = self.faults = 0  # `began`: when the message that is not whole yet did
-        self.asked = self.told = False
+        self.asked = self.told = self.retiring = False
         front.clients.add(self)
 
     def run(self) -> None:
@@ -122,6 +127,9 @@
         whole = False
         while (frame := self._frame(buffer)) is not None:
             whole = True
+            if self.writer.closed:  # came after our side was shut: no answer could reach the client
+                self.counters.add("clients.after_retiring")
+                continue
             self._message(frame)
             if self.faults > FAULTS_MOST:
                 raise BadFrame("too many errors")
@@ -154,6 +162,16 @@
         busy = bool(self.open or self.began or self.writer.running)  # an answer may still be on its way out
         return missed(now, self.since, self.last, self.asked, busy)
 
+    def retire(self) -> None:
+        """End the connection once nothing is owed on it: the client's next call meets the next process.
+
+        Guards against refusing what comes on connections kept open past a stop: after the last answer our
+        side is shut, and the client, seeing the end, asks again on a new connection."""
+        self.retiring = True
+        if not self.open and not self.began and not unread(self.sock):
+            self.counters.add("clients.retired")
+            self.writer.close(lambda: shut(self.sock))
+
     def _gone(self, why: str) -> None:
         self.counters.add("clients_cut")
         end(self.sock)
@@ -191,6 +209,8 @@
         self._heard()
         raw = json.dumps(message, separators=(",", ":")).encode()
         self.writer.put(b"Content-Length: %d\r\n\r\n" % len(raw), raw)
+        if self.retiring:
+            self.retire()
 
     def _error(self, number: int | None, code: int, text: str, data: dict | None = None) -> None:
         error = {"code": code, "message": text}
--- a/cypressledge/net/stream.py
+++ b/cypressledge/net/stream.py
@@ -293,6 +293,14 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def shut(sock) -> None:
+    """Our side is done; the peer's words are still read."""
+    try:
+        sock.shutdown(socket.SHUT_WR)
+    except OSError:
+        end(sock)
+
+
 def end(sock) -> None:
     """Close for good, waking whoever reads."""
     try:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -86,6 +86,7 @@
         self.assertEqual(content(client.get()), ROW)
         new = start()
         old.process.send_signal(signal.SIGTERM)
+        self.assertEqual(client.file.read(1), b"")  # the kept connection ends, nothing owed on it
         for n in range(20):  # across the change, each on a new connection
             fresh = self.client(new)
             fresh.ask(id=f"{n + 1:016x}")
