A broker of many keeps to engines of its own order; no guess where no load was reported

Ruled in: control.py _choose, 'guess = (1 - known) * spread * (2 * draw() - 1)': with no load reports known is ~0, so each send got noise of about +-1 thread a core, as large as STRANGE, and scattered sends over the fleet; and _near gave every engine past the broker's own the same STRANGE, so spill went anywhere.

Change: no guess on an engine that never reported load; engines past a broker's own cost more the later they stand in its order, so spill goes to the next ones.

--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -273,9 +273,9 @@
         ahead = e.holds.get(r.group, 0) * self.s.peers * self.usual[r.cls] / r.spec.threads
         return ahead <= LINE * (r.aim_at - r.arrived)
 
-    def _near(self) -> list[Engine]:
-        """Engines of this manager's own: no more than its answers keep it informed of."""
-        return self._ranks(-1 - self.s.slot)[:NEAR_LEAST + int(self.rate / 2)]
+    def _near(self, n: int) -> dict[Engine, float]:
+        """This manager's own n engines, and how strange each other is: the later in its order, the more."""
+        return {e: (i >= n) * (1.0 + (i - n) / n) for i, e in enumerate(self._ranks(-1 - self.s.slot))}
 
     def _turn(self, r: Request) -> None:
         """The request is first of its key: queue it, after the key's rest."""
@@ -690,7 +690,7 @@
             return None
         spec, best, ties = r.spec, None, []
         others = REPORT_WEIGHT * (1.0 - 1.0 / self.s.peers)
-        near, draw = self._near(), self.rng.random
+        near, draw = self._near(NEAR_LEAST + int(self.rate / 2)), self.rng.random
         homes = self.order if spec.is_load else self._home(r.group)
         apart = self._apart(r.group) if spec.is_load or spec.waits else ()
         barred = self._barred(r) if spec.is_load or spec.waits else ()
@@ -705,9 +705,9 @@
                 continue
             score = (e.threads + spec.threads) / e.cores * max(e.slow / self.slow, 1.0)
             known = 1.0 / (1.0 + (self.now - e.load_at) / REPORT_AGE)
-            guess = (1.0 - known) * self.spread * (2.0 * draw() - 1.0)
+            guess = (1.0 - known) * self.spread * (2.0 * draw() - 1.0) * (e.load_at > 0)  # a report's age
             score += others * (known * (e.load - self.load) + guess)
-            score += (e not in homes) * COLD_READ + (e not in near and self.now >= e.cold_until) * STRANGE
+            score += (e not in homes) * COLD_READ + (self.now >= e.cold_until) * STRANGE * near[e]
             if spec.waits or spec.is_load:
                 score += HELD * max(e.holds.get(r.group, 0), e.seen_held.get(r.group, 0) > self.now)
                 score += (e not in apart) * APART if spec.is_load else (e in apart) * BEHIND
