--- a/tests/test_service_days.py
+++ b/tests/test_service_days.py
@@ -294,25 +294,30 @@
 
     def test_answer_that_never_comes_is_asked_for_again(self):
         """Its connection is silent while the engine tells notes on another one."""
+        says = {}
+
         def play(engine, say, name, fields, statement):
-            # Beyond the first connection's share, on a second one. Known by its connection, not by its place
-            # in `wants`: the two connections' threads may append in either order.
-            first = next(w for w in engine.wants if w[1] == name)
-            if first[0] is not engine.wants[0][0] and not engine.noting:
-                engine.noting = True
-                notes = threading.Thread(
-                    target=until, args=(lambda: say(name, "status") or engine.wants[9:],))
-                notes.start()
-                self.addCleanup(notes.join)
+            says[next(w[0] for w in engine.wants if w[1] == name)] = say
             if len(engine.wants) > 9:
                 whole(engine, say, name, fields, statement)
 
+        def lone():
+            # The want beyond the first connection's share, known by being alone on its connection: the two
+            # connections may come up, and their threads append, in either order.
+            wants = engine.wants[:9]
+            alone = [w for w in wants if sum(v[0] is w[0] for v in wants) == 1]
+            return alone[0] if len(wants) == 9 and alone and alone[0][0] in says else None
+
         engine = self.engine(play)
-        engine.noting = False
         client = self.client(self.broker(engine))
         for _ in range(9):
             client.ask("report", wait=20000)
+        noted = until(lone, "nine wants on two connections")
+        notes = threading.Thread(
+            target=until, args=(lambda: says[noted[0]](noted[1], "status") or engine.wants[9:],))
+        notes.start()
+        self.addCleanup(notes.join)
         until(lambda: engine.wants[9:], "a repeat")
-        silent = [name for sock, name, *_ in engine.wants[:9] if sock is engine.wants[0][0]]
+        silent = [name for sock, name, *_ in engine.wants[:9] if sock is not noted[0]]
         self.assertEqual(len(silent), 8)
         self.assertIn(engine.wants[9][1], silent)
