Tests: one held-until-released engine play in stands, instead of three copies

The same three-line 'slow' play (wait for engine.released, then answer whole) stood in test_broker, test_operations and test_service_days, and a variant in the figures test; it is now stands.held, next to whole and silent. The figures test's client named held is renamed so it does not shadow the play.

--- a/tests/stands.py
+++ b/tests/stands.py
@@ -147,6 +147,12 @@
     say(name, "200", "count=1", ROW)
 
 
+def held(engine, say, name, fields, statement):
+    """Answers whole once the test sets `engine.released`."""
+    until(lambda: engine.released, "the release")
+    whole(engine, say, name, fields, statement)
+
+
 def silent(engine, say, name, fields, statement):
     """Takes the query and never answers."""
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -10,7 +10,7 @@
 from cypressledge.net.clickhouse import FORMAT, WRITES
 from cypressledge.sql import table_group
 from tests.stands import (
-    ROOT, ROW, SETTINGS, Broker, Case, content, failing, page, silent, until, whole,
+    ROOT, ROW, SETTINGS, Broker, Case, content, failing, held, page, silent, until, whole,
 )
 
 
@@ -262,11 +262,7 @@
 
 class Process(Case):
     def test_sigterm_goes_on_serving_then_answers_all_and_exits(self):
-        def slow(engine, say, name, fields, statement):
-            until(lambda: engine.released, "the release")
-            whole(engine, say, name, fields, statement)
-
-        engine = self.engine(slow)
+        engine = self.engine(held)
         engine.released = False
         broker = self.broker(engine)
         client = self.client(broker)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -6,7 +6,7 @@
 import tempfile
 import time
 
-from tests.stands import ROW, WAIT, Case, content, free_port, http, until, whole
+from tests.stands import ROW, WAIT, Case, content, free_port, held, http, until, whole
 
 
 def status(port):
@@ -28,11 +28,7 @@
         return broker, port
 
     def test_status_says_yes_while_taking_and_no_while_stopping(self):
-        def slow(engine, say, name, fields, statement):
-            until(lambda: engine.released, "the release")
-            whole(engine, say, name, fields, statement)
-
-        engine = self.engine(slow)
+        engine = self.engine(held)
         engine.released = False
         broker, port = self.operated(engine)
         client = self.client(broker)
@@ -153,9 +149,7 @@
 
     def test_counts_and_gauges(self):
         def slow(engine, say, name, fields, statement):
-            if statement.startswith(b"SELECT slow"):
-                until(lambda: engine.released, "the release")
-            whole(engine, say, name, fields, statement)
+            (held if statement.startswith(b"SELECT slow") else whole)(engine, say, name, fields, statement)
 
         one, two = self.engine(slow, name="s-1"), self.engine(slow, name="s-2")
         one.released = two.released = False
@@ -167,8 +161,8 @@
         for i in range(6):
             client.ask(id=f"{i + 1:016x}")
             self.assertEqual(content(client.get()), ROW)
-        held = self.client(broker)
-        held.ask("report", statement=b"SELECT slow FROM sales_17.orders", id=f"{99:016x}", wait=15000)
+        waiting = self.client(broker)
+        waiting.ask("report", statement=b"SELECT slow FROM sales_17.orders", id=f"{99:016x}", wait=15000)
         until(lambda: any(b"slow" in w[3] for e in (one, two) for w in e.wants), "the report's attempt")
         self.assertEqual(metrics(port)["svc.concurrent"], 1)
         call(port, "/maintenance/enter", "s-1")
@@ -179,6 +173,6 @@
         self.assertEqual(now["svc.dispatches"], 7)
         self.assertEqual((now["svc.targets"], now["svc.targets_disabled"]), (2, 1))
         one.released = two.released = True
-        self.assertEqual(content(held.get()), ROW)
+        self.assertEqual(content(waiting.get()), ROW)
         until(lambda: metrics(port)["svc.replies.report.success"] == 1, "the report counted")
         self.assertEqual(metrics(port)["svc.concurrent"], 0)
--- a/tests/test_service_days.py
+++ b/tests/test_service_days.py
@@ -9,18 +9,14 @@
 from cypressledge.counters import Counters
 from cypressledge.net.jsonrpc import SKIPPED_MOST, Client, Used
 from cypressledge.net.stream import KEPT, LOOKS, Crowd, Listener
-from tests.stands import ROW, SETTINGS, WAIT, Case, NameServer, Rpc, content, silent, until, whole
+from tests.stands import ROW, SETTINGS, WAIT, Case, NameServer, Rpc, content, held, silent, until, whole
 
 
 class Reload(Case):
     """SIGHUP: the configuration is read again while everything else lives on."""
 
     def test_new_directory_is_asked_at_once_and_open_requests_live_on(self):
-        def slow(engine, say, name, fields, statement):
-            until(lambda: engine.released, "the release")
-            whole(engine, say, name, fields, statement)
-
-        engine, other = self.engine(slow), self.engine(name="s-2")
+        engine, other = self.engine(held), self.engine(name="s-2")
         engine.released = False
         broker = self.broker(engine)
         client = self.client(broker)
