ROUTER_FIGURES_S is read in config.py with the other variables, not from os.environ in Broker

The counters period was read by Broker straight from os.environ, beside a Config that already takes every other ROUTER_ variable from the env handed to assemble(); it is now Config.figures_s, parsed by the same rule as before (none or nonsense is off). A test starts the broker with ROUTER_FIGURES_S=0.2 and waits for the counters line with the answered lookup in it; the feature had none.

--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -57,8 +57,7 @@
                            config.inherited)
         self.fronts, self.links = [self.front], [self.lines]
         self.parts = [self.core.run, self.front.listener.run, self._tend]
-        self.figures_s = _seconds(os.environ.get("ROUTER_FIGURES_S"))
-        if self.figures_s:
+        if config.figures_s:
             self.parts.append(self._figures)
         self.management = None
         if config.management is not None:
@@ -166,8 +165,8 @@
     def _figures(self) -> None:
         """The counters on one log line every so often, for counting over a fleet from its logs."""
         while True:
-            gevent.sleep(self.figures_s)
-            self.counters.print(f"every {self.figures_s:g}s")
+            gevent.sleep(self.config.figures_s)
+            self.counters.print(f"every {self.config.figures_s:g}s")
 
     def _broken(self, part) -> None:
         # A part that ended by an exception can't be done without: end, so that the platform starts anew.
@@ -175,14 +174,6 @@
         os._exit(3)
 
 
-def _seconds(text: str | None) -> float:
-    """A period in seconds from the environment; none, or nonsense, is off."""
-    try:
-        return max(float(text or 0), 0.0)
-    except ValueError:
-        return 0.0
-
-
 def assemble(args: list[str], env) -> Broker:
     """The broker that arguments and environment describe."""
     parser = argparse.ArgumentParser(prog="cypressledge", description="a query broker")
--- a/cypressledge/config.py
+++ b/cypressledge/config.py
@@ -58,6 +58,7 @@
     listen: tuple[str, int]
     inherited: int | None  # the clients' socket, where the platform holds it and hands it on
     management: tuple[str, int] | None
+    figures_s: float  # seconds between log lines of all counters; 0 is never
     dns: tuple[str, int] | None
     seed: int
     limits: Limits
@@ -95,6 +96,7 @@
         listen=address(env.get("ROUTER_LISTEN") or raw["listen"]),
         inherited=_descriptor(env.get("ROUTER_SOCKET_FD")),
         management=_management(env.get("ROUTER_MANAGEMENT") or raw.get("management")),
+        figures_s=_seconds(env.get("ROUTER_FIGURES_S")),
         dns=address(raw["dns"]) if raw.get("dns") else None,
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
         limits=limits, settings=settings_of(s), classes=tuple(k["Name"] for k in s["Classes"]),
@@ -102,6 +104,14 @@
         tenants=frozenset(t["Name"] for t in s.get("Customers", ())), serial=serial, engines=tuple(engines))
 
 
+def _seconds(text: str | None) -> float:
+    """A period in seconds; none, or nonsense, is off."""
+    try:
+        return max(float(text or 0), 0.0)
+    except ValueError:
+        return 0.0
+
+
 def _descriptor(text: str | None) -> int | None:
     if not text:
         return None
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -176,3 +176,12 @@
         self.assertEqual(content(waiting.get()), ROW)
         until(lambda: metrics(port)["svc.replies.report.success"] == 1, "the report counted")
         self.assertEqual(metrics(port)["svc.concurrent"], 0)
+
+    def test_counters_are_logged_every_so_often_when_asked(self):
+        engine = self.engine()
+        broker = self.broker(engine, env={"ROUTER_FIGURES_S": "0.2"})
+        client = self.client(broker)
+        client.ask(id=f"{1:016x}")
+        self.assertEqual(content(client.get()), ROW)
+        until(lambda: "counters (every 0.2s): " in broker.words()
+              and "replies.lookup.success=1" in broker.words().splitlines()[-1], "a counters line")
