--- /dev/null
+++ b/cypressledge/fleet/messages.py
@@ -0,0 +1,198 @@
+"""What brokers say to each other: typed messages and their encoding (msgspec, MessagePack). No I/O.
+
+One datagram is one `Envelope` with a list of items. MessagePack and msgspec's tagged structs are the whole
+format: a datagram has its own bounds, so there is no framing. Times in messages are spans in µs, never
+moments: brokers' clocks have nothing in common but their rate, within a bound.
+"""
+
+import msgspec
+
+VERSION = 1  # of this set of messages; another one is counted and dropped
+LARGEST = 8_192  # bytes of one datagram
+ITEMS_MOST = 256
+
+
+class Item(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Anything that an envelope carries."""
+
+
+class Look(Item, frozen=True, tag="look"):
+    """How does a lease stand with you? Binds nobody."""
+
+    lease: str
+
+
+class Ask(Item, frozen=True, tag="ask"):
+    """Vote for me. `run` names the process, `round` the try, `term` is µs on the voter's clock."""
+
+    lease: str
+    run: int
+    round: int
+    token: int
+    term: int
+    version: int  # of the voter set that the asker goes by
+
+
+class GiveBack(Item, frozen=True, tag="back"):
+    """I hold it no more: votes of mine up to this round are free."""
+
+    lease: str
+    run: int
+    round: int
+
+
+class Seen(Item, frozen=True, tag="seen"):
+    """How a lease stands with this voter. `left` is µs until its vote is free, `mute` µs until it votes."""
+
+    lease: str
+    holder: str
+    left: int
+    token: int
+    mute: int
+
+
+class Grant(Item, frozen=True, tag="grant"):
+    """My vote is yours for the term asked."""
+
+    lease: str
+    run: int
+    round: int
+    token: int
+
+
+class Refuse(Item, frozen=True, tag="refuse"):
+    """No vote. `why`: held, mute, token, version, term, full."""
+
+    lease: str
+    run: int
+    round: int
+    why: str
+    holder: str
+    left: int
+    token: int
+
+
+class Freed(Item, frozen=True, tag="freed"):
+    """A hint to those next in line: I gave this back; `token` was mine."""
+
+    lease: str
+    token: int
+
+
+class Word(msgspec.Struct, frozen=True, array_like=True):
+    """What is said of a member: `state` is 0 alive, 1 suspect, 2 gone."""
+
+    name: str
+    incarnation: int
+    state: int
+
+
+class Ping(Item, frozen=True, tag="ping"):
+    """Are you there? `words` ride along."""
+
+    number: int
+    words: list[Word]
+
+
+class Ack(Item, frozen=True, tag="ack"):
+    """I am, or `about` is, if it was asked for through me."""
+
+    number: int
+    about: str
+    words: list[Word]
+
+
+class PingFor(Item, frozen=True, tag="pingfor"):
+    """Ask this one for me: I can't reach it."""
+
+    number: int
+    target: str
+
+
+class FiguresWanted(Item, frozen=True, tag="want"):
+    """The summary's holder asks for figures, under its token."""
+
+    lease: str
+    token: int
+    run: int
+
+
+class Figures(Item, frozen=True, tag="figures"):
+    """One broker's counters: by class success, overload, error, dispatches; the engines it avoids."""
+
+    token: int
+    classes: dict[str, list[int]]
+    avoided: list[str]
+    ready: int
+    open: int
+
+
+class Summary(Item, frozen=True, tag="summary"):
+    """All brokers' figures merged by the holder of `token`. `engines`: how many brokers avoid each."""
+
+    token: int
+    run: int
+    holder: str
+    brokers: int
+    missing: list[str]
+    classes: dict[str, list[int]]
+    engines: dict[str, int]
+
+
+Items = (Look | Ask | GiveBack | Seen | Grant | Refuse | Freed | Ping | Ack | PingFor
+         | FiguresWanted | Figures | Summary)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """One datagram. `voters`: version of the sender's voter set; `floor`: the oldest version it answers."""
+
+    v: int
+    sender: str
+    to: str
+    run: int
+    incarnation: int
+    voters: int
+    floor: int
+    items: list[Items]
+
+
+class Head(msgspec.Struct, frozen=True, array_like=True):
+    """The part of an envelope that every version has."""
+
+    v: int
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Envelope).decode
+_head = msgspec.msgpack.Decoder(Head).decode
+
+
+class Unreadable(Exception):
+    """A datagram that is dropped; its text is the name of the count: garbled, version, large."""
+
+
+def encode(envelope: Envelope) -> bytes:
+    """The datagram of an envelope."""
+    return _encode(envelope)
+
+
+def decode(raw: bytes) -> Envelope:
+    """The envelope of a datagram. Raises `Unreadable`, and nothing else, whatever the bytes are."""
+    if len(raw) > LARGEST:
+        raise Unreadable("large")
+    try:
+        envelope = _decode(raw)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        raise Unreadable(_why(raw)) from None
+    if envelope.v != VERSION:
+        raise Unreadable("version")
+    if len(envelope.items) > ITEMS_MOST:
+        raise Unreadable("large")
+    return envelope
+
+
+def _why(raw: bytes) -> str:
+    try:
+        return "garbled" if _head(raw).v == VERSION else "version"
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return "garbled"
--- /dev/null
+++ b/cypressledge/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The project's laboratory: explorer, stand-ins, relays and experiments. Never imported by `run`."""
