--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -1,7 +1,8 @@
 """One real broker: reads its configuration, puts the parts together, and heeds signals.
 
 Run with `python -m cypressledge`; ROUTER_CONFIG names the configuration. `--service FILE` adds the
-hosted service's front.
+hosted service's front, `--fleet FILE` what brokers do together. With `fleet` or `lab` as the first word it is
+the operators' command line instead (`cli.py`).
 """
 
 import argparse
@@ -28,6 +29,7 @@
 from cypressledge.service import Service, ServiceConfig, read_service
 from cypressledge.tenants import Tenants
 
+COMMANDS = ("fleet", "lab")  # first words that are the command line's
 LINGER = 0.72  # seconds that a stopping broker goes on taking requests; what came later might meet SIGKILL
 LAST_WORDS = 0.5  # seconds for the last answers to leave
 TEND = 0.5  # seconds between looks at the engines' connections
@@ -44,7 +46,8 @@
 class Broker:
     """All parts of one broker."""
 
-    def __init__(self, read: Callable[[], tuple[Config, ServiceConfig | None]]) -> None:
+    def __init__(self, read: Callable[[], tuple[Config, ServiceConfig | None]],
+                 fleet: str | None = None) -> None:
         self.read = read
         config, service = read()
         self.config = config
@@ -78,9 +81,20 @@
             self.fronts.append(self.service)
             self.links.append(self.service.link)
             self.parts += self.service.parts
+        self.fleet = self._join(fleet) if fleet else None
         self._limit(config)
         self.stopping = Event()
 
+    def _join(self, file: str):
+        """What brokers do together. Imported here alone: without it a broker is as it was."""
+        from cypressledge.fleet.part import FleetPart
+
+        part = FleetPart(file, self.config.name, self.config.classes, self.core, self.counters)
+        self.parts += part.parts
+        if self.management is not None:
+            part.calls(self.management)
+        return part
+
     def _limit(self, config: Config) -> None:
         """Take what the configuration allows; at the start and at each reload."""
         limits, shared = config.limits, self.service is not None
@@ -113,6 +127,8 @@
         self.directory.move(config.dns)
         if self.service is not None:
             self.service.reload(service, config)
+        if self.fleet is not None:
+            self.fleet.reload()
         self.counters.add("reloads")
         log("reload: the new configuration is in force")
 
@@ -137,6 +153,8 @@
         self.stopping.wait()
         log("stopping: no longer healthy, still serving")
         self.core.stopping = True
+        if self.fleet is not None:
+            self.fleet.stop()
         if self.front.listener.inherited:  # the socket's queue and the clients are the next process's
             self.front.stop()
             self.front.retire()
@@ -178,15 +196,21 @@
     """The broker that arguments and environment describe."""
     parser = argparse.ArgumentParser(prog="cypressledge", description="a query broker")
     parser.add_argument("--service", metavar="FILE", help="settings of the hosted service's front")
-    file = parser.parse_args(args).service
+    parser.add_argument("--fleet", metavar="FILE", help="what brokers do together (deploy/fleet.yaml)")
+    told = parser.parse_args(args)
+    file = told.service
     try:
-        return Broker(lambda: (read_config(env), read_service(file, env) if file else None))
+        return Broker(lambda: (read_config(env), read_service(file, env) if file else None), told.fleet)
     except OSError as err:
         raise ConfigError(f"cannot listen: {err}") from None
 
 
 def main() -> int:
     """Run one broker; a bad configuration is one plain line."""
+    if sys.argv[1:2] and sys.argv[1] in COMMANDS:
+        from cypressledge.cli import cli
+
+        cli(prog_name="cypressledge")
     try:
         broker = assemble(sys.argv[1:], os.environ)
     except ConfigError as err:
--- /dev/null
+++ b/cypressledge/cli.py
@@ -0,0 +1,193 @@
+"""The operators' command line (click): `cypressledge fleet …`, `cypressledge lab …`. Not imported by `run`.
+
+Talks to a broker's management address over HTTP; starts processes for the laboratory's commands alone.
+"""
+
+import http.client
+import json
+import os
+import sys
+import time
+
+import click
+from tabulate import tabulate
+
+from cypressledge.config import ConfigError, address
+
+ANSWER_S = 5.0  # seconds for a broker's answer
+
+
+@click.group()
+def cli() -> None:
+    """A query broker: the operators' and the laboratory's commands."""
+
+
+@cli.group()
+@click.option("--at", envvar="ROUTER_MANAGEMENT", required=True, metavar="HOST:PORT",
+              help="A broker's management address.")
+@click.pass_context
+def fleet(ctx: click.Context, at: str) -> None:
+    """What brokers do together, as one of them sees it."""
+    try:
+        ctx.obj = address(at)
+    except ConfigError as err:
+        raise click.UsageError(f"--at: {err}") from None
+
+
+def call(at: tuple[str, int], method: str, path: str, body: str = "") -> str:
+    """A broker's answer. Raises `ClickException` with one plain line where there is none."""
+    conn = http.client.HTTPConnection(*at, timeout=ANSWER_S)
+    try:
+        conn.request(method, path, body.encode())
+        answer = conn.getresponse()
+        text = answer.read().decode("utf-8", "replace")
+    except (OSError, http.client.HTTPException) as err:
+        raise click.ClickException(f"no answer from {at[0]}:{at[1]}: {err}") from None
+    finally:
+        conn.close()
+    if answer.status == 404 and text == "no such call\n":
+        raise click.ClickException(f"{at[0]}:{at[1]} was started without --fleet")
+    if answer.status != 200:
+        raise click.ClickException(text.strip() or f"HTTP {answer.status}")
+    return text
+
+
+def show(rows: list[dict], as_json: bool) -> None:
+    """A table, or JSON."""
+    if as_json:
+        click.echo(json.dumps(rows, indent=2))
+        return
+    plain = [{k: " ".join(map(str, v)) if isinstance(v, list) else "-" if v is None else v
+              for k, v in row.items()} for row in rows]
+    click.echo(tabulate(plain, headers="keys") if plain else "none")
+
+
+as_json = click.option("--json", "as_json", is_flag=True, help="JSON in place of a table.")
+
+
+@fleet.command()
+@as_json
+@click.pass_obj
+def peers(at: tuple[str, int], as_json: bool) -> None:
+    """Which brokers are alive, suspect or gone; which vote."""
+    show(json.loads(call(at, "GET", "/fleet/peers")), as_json)
+
+
+@fleet.command()
+@as_json
+@click.pass_obj
+def leases(at: tuple[str, int], as_json: bool) -> None:
+    """Who holds what, and who is next in line."""
+    show(json.loads(call(at, "GET", "/fleet/leases")), as_json)
+
+
+@fleet.command()
+@as_json
+@click.pass_obj
+def tasks(at: tuple[str, int], as_json: bool) -> None:
+    """The tasks of this broker, and what they have taken."""
+    show(json.loads(call(at, "GET", "/fleet/tasks")), as_json)
+
+
+@fleet.command()
+@as_json
+@click.pass_obj
+def summary(at: tuple[str, int], as_json: bool) -> None:
+    """The whole fleet's figures, as last summed up."""
+    told = json.loads(call(at, "GET", "/fleet/summary"))
+    if told is None:
+        raise click.ClickException("no summary yet")
+    if as_json:
+        click.echo(json.dumps(told, indent=2))
+        return
+    click.echo(f"summed up by {told['holder']} (token {told['token']}) {told['age_s']} s ago: "
+               f"{told['brokers']} brokers; missing: {' '.join(told['missing']) or 'none'}")
+    rows = [dict(zip(("class", "success", "overload", "error", "dispatches"), (c, *v), strict=True))
+            for c, v in sorted(told["classes"].items())]
+    show(rows, False)
+    show([{"engine": e, "avoided by": n} for e, n in told["engines_avoided"].items()], False)
+
+
+@fleet.command("give-back")
+@click.argument("lease")
+@click.pass_obj
+def give_back(at: tuple[str, int], lease: str) -> None:
+    """Make this broker give a lease back; the next in line takes it."""
+    click.echo(call(at, "POST", "/fleet/give-back", lease).strip())
+
+
+@fleet.command("restart-turn")
+@click.option("--lease", default="restart", show_default=True, help="The lease that turns are taken under.")
+@click.option("--wait", "wait_s", default=60.0, show_default=True, help="Seconds to wait for the turn.")
+@click.option("--over", is_flag=True, help="Give the turn, or the wish for one, back.")
+@click.pass_obj
+def restart_turn(at: tuple[str, int], lease: str, wait_s: float, over: bool) -> None:
+    """Wait until this broker may be restarted; exit 0 when it is its turn, 1 when it was in vain."""
+    if over:
+        call(at, "POST", "/fleet/turn/over", lease)
+        click.echo("over")
+        return
+    end = time.monotonic() + wait_s
+    while True:
+        told = json.loads(call(at, "POST", "/fleet/turn", lease))
+        if told["yours"]:
+            click.echo(f"{lease}: your turn, token {told['token']}")
+            return
+        if time.monotonic() >= end:
+            call(at, "POST", "/fleet/turn/over", lease)
+            away = " ".join(told["missing"]) or "none"
+            raise click.ClickException(f"no turn within {wait_s:g} s; brokers missing: {away}")
+        time.sleep(0.1)
+
+
+@cli.group()
+def lab() -> None:
+    """The laboratory: what the program does when parts of the system fail."""
+
+
+@lab.command()
+@click.option("--deep", is_flag=True, help="Larger worlds as well: many minutes.")
+@click.option("--most", default=3_000_000, show_default=True, help="States at which a walk is given up.")
+def model(deep: bool, most: int) -> None:
+    """Walk the lease through whole small worlds, and through the same with each guard taken out."""
+    from cypressledge.lab.model import run
+
+    sys.exit(run(deep, most, click.echo))
+
+
+@lab.command("leases")
+@click.option("--brokers", default=7, show_default=True, type=click.IntRange(3, 50))
+@click.option("--voters", default=5, show_default=True, type=click.IntRange(3, 7))
+@click.option("--seed", default=1, show_default=True, help="Of the first run.")
+@click.option("--runs", default=1, show_default=True, help="Runs, each with the next seed.")
+@click.option("--seconds", default=20.0, show_default=True, help="Of each run.")
+@click.option("--no-fence", is_flag=True, help="The resource takes any token: a stopped holder must show.")
+@click.option("--term", default=1.5, show_default=True, help="Seconds of a lease's term.")
+@click.option("--keep", default="", help="Keep each run's files in this folder.")
+def lab_leases(**how) -> None:
+    """Start brokers as processes, break what is between them, and check that two never act at once."""
+    from cypressledge.lab.leases import run
+
+    sys.exit(run(**how, say=click.echo))
+
+
+@lab.command()
+@click.option("--seconds", default=20.0, show_default=True)
+def demo(seconds: float) -> None:
+    """Three brokers, engines in two zones, a small load; the lease's holder is killed."""
+    from cypressledge.lab.demo import run
+
+    sys.exit(run(seconds, live=sys.stdout.isatty() and os.environ.get("TERM") != "dumb"))
+
+
+@lab.command()
+@click.option("--brokers", default=200, show_default=True)
+@click.option("--leases", "leases_", default=50, show_default=True)
+@click.option("--voters", default=5, show_default=True)
+@click.option("--seconds", default=30.0, show_default=True, help="Of virtual time.")
+@click.option("--seed", default=1, show_default=True)
+def size(brokers: int, leases_: int, voters: int, seconds: float, seed: int) -> None:
+    """Many brokers in virtual time: messages and processor time of each, and how leases spread."""
+    from cypressledge.lab.virtual import report
+
+    report(brokers, leases_, voters, seconds, seed, click.echo)
--- /dev/null
+++ b/cypressledge/fleet/exchange.py
@@ -0,0 +1,131 @@
+"""Datagrams between brokers: UDP on a gevent socket, with bounds on what any peer can cost. Does I/O only.
+
+Guards against peers that flood, garble or stand still: what comes in is limited by address before it is
+decoded, what goes out never blocks and is dropped where the system or a peer's queue is full. Everything
+that uses this expects datagrams to get lost.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gevent import socket
+from gevent.event import Event
+
+from cypressledge.counters import Counters
+from cypressledge.fleet.messages import ITEMS_MOST, LARGEST, VERSION, Envelope, Unreadable, decode, encode
+
+INBOX_MOST = 1_024  # datagrams that wait to be looked at
+RATE = 400.0  # datagrams a second from one address, in the long run
+BURST = 800.0
+ADDRESSES_MOST = 512
+SMALL = 1_200  # bytes that a datagram is filled up to: under any path's MTU
+ITEMS_EACH = 64
+
+
+@dataclass(slots=True)
+class Bucket:
+    """What one address may still send: refilled with time."""
+
+    level: float = BURST
+    at: int = 0
+
+    def take(self, now: int) -> bool:
+        """Whether one more datagram is let in at `now` (µs)."""
+        self.level = min(BURST, self.level + (now - self.at) * RATE / 1e6)
+        self.at = now
+        if self.level < 1:
+            return False
+        self.level -= 1
+        return True
+
+
+class Exchange:
+    """The fleet socket. `head` gives (run, incarnation, voters, floor) of what is sent."""
+
+    def __init__(self, name: str, listen: tuple[str, int], counters: Counters, now: Callable[[], int],
+                 head: Callable[[], tuple[int, int, int, int]]) -> None:
+        self.name, self.counters, self.now, self.head = name, counters, now, head
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.queues: dict[str, list] = {}
+        self.buckets: dict[tuple[str, int], Bucket] = {}
+        self.inbox: deque[Envelope] = deque()
+        self.woken = Event()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        self.sock.bind(listen)
+
+    def name_peers(self, addresses: dict[str, tuple[str, int]]) -> None:
+        """Where the peers are; what waits for one that is named no more is dropped."""
+        self.addresses = addresses
+        self.queues = {n: q for n, q in self.queues.items() if n in addresses}
+
+    def out(self, peer: str, item: object) -> None:
+        """Queue an item; it leaves with the next `flush`."""
+        if peer not in self.addresses:
+            self.counters.add("fleet.unknown_peer")
+            return
+        queue = self.queues.setdefault(peer, [])
+        if len(queue) >= ITEMS_MOST:
+            self.counters.add("fleet.queue_full")
+            return
+        queue.append(item)
+
+    def flush(self) -> None:
+        """Send what is queued."""
+        queues, self.queues = self.queues, {}
+        for peer, items in queues.items():
+            for at in range(0, len(items), ITEMS_EACH):
+                self._send(peer, items[at:at + ITEMS_EACH])
+
+    def _send(self, peer: str, items: list) -> None:
+        run, incarnation, voters, floor = self.head()
+        raw = encode(Envelope(VERSION, self.name, peer, run, incarnation, voters, floor, items))
+        if len(raw) > SMALL and len(items) > 1:
+            half = len(items) // 2
+            self._send(peer, items[:half])
+            self._send(peer, items[half:])
+            return
+        if len(raw) > LARGEST:
+            self.counters.add("fleet.too_large")
+            return
+        try:
+            # Not gevent's sendto: that would wait where the socket's buffer is full.
+            self.sock._sock.sendto(raw, self.addresses[peer])
+            self.counters.add("fleet.sent")
+        except OSError:
+            self.counters.add("fleet.not_sent")
+
+    def read(self) -> None:
+        """A greenlet: takes datagrams in for as long as the process runs."""
+        while True:
+            try:
+                raw, source = self.sock.recvfrom(LARGEST + 1)
+            except OSError:
+                self.counters.add("fleet.read_errors")  # an ICMP answer to something sent, most likely
+                continue
+            self._take(raw, source)
+
+    def _take(self, raw: bytes, source: tuple[str, int]) -> None:
+        bucket = self.buckets.get(source)
+        if bucket is None:
+            if len(self.buckets) >= ADDRESSES_MOST:
+                source = ("", 0)  # all further addresses share one
+            bucket = self.buckets.setdefault(source, Bucket(at=self.now()))
+        if not bucket.take(self.now()):
+            self.counters.add("fleet.flooded")
+            return
+        if len(self.inbox) >= INBOX_MOST:
+            self.counters.add("fleet.inbox_full")
+            return
+        try:
+            envelope = decode(raw)
+        except Unreadable as err:
+            self.counters.add(f"fleet.bad_{err}")
+            return
+        if envelope.to != self.name or envelope.sender not in self.addresses:
+            self.counters.add("fleet.misdirected")
+            return
+        self.counters.add("fleet.received")
+        self.inbox.append(envelope)
+        self.woken.set()
--- /dev/null
+++ b/cypressledge/fleet/settings.py
@@ -0,0 +1,179 @@
+"""Reads `deploy/fleet.yaml`: who the peers are, which of them vote, which leases and tasks there are.
+
+Checked whole by msgspec's schema and then by the rules below; whatever is wrong is one plain line.
+"""
+
+from typing import Annotated, Literal
+
+import msgspec
+import yaml
+
+from cypressledge.config import ConfigError, address
+from cypressledge.fleet.lease import VoterSetError, check_sets
+
+PEERS_MOST = 200
+PLACES_MOST = 32
+LEASES_MOST = 256
+SIZES = range(3, 8)  # voters; 4 and 6 only on the way from one odd number to the next
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$")]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=600)]
+
+
+class Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A part of the file: an unknown key is a mistake."""
+
+
+class Peer(Strict, frozen=True):
+    """One broker. `address`: HOST:PORT of its fleet socket (UDP)."""
+
+    name: Name
+    address: str
+    zone: str = ""
+
+
+class Voters(Strict, frozen=True):
+    """One version of the voter set."""
+
+    version: Annotated[int, msgspec.Meta(ge=1)]
+    names: list[Name]
+
+
+class LeaseSpec(Strict, frozen=True):
+    """A lease. `places`: how many may hold it at once. `wanted`: only those told to ask for it do."""
+
+    name: Name
+    places: Annotated[int, msgspec.Meta(ge=1, le=PLACES_MOST)] = 1
+    wanted: bool = False
+    term_s: Seconds | None = None
+
+
+class TaskSpec(Strict, frozen=True):
+    """A task under a lease. `longest_s`: an act is not begun with less of the lease left. `at`: where a call
+    goes to; `steps` and `step_s`: how many calls an act makes, and the time between them."""
+
+    kind: Literal["summary", "call"]
+    lease: Name
+    every_s: Seconds = 2.0
+    longest_s: Seconds = 1.0
+    priority: Annotated[int, msgspec.Meta(ge=0, le=9)] = 5
+    at: str = ""
+    steps: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1
+    step_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
+
+
+class Lab(Strict, frozen=True):
+    """For the laboratory alone: a clock of another rate and offset, and a file of what was held when."""
+
+    clock_rate: Annotated[float, msgspec.Meta(ge=0.5, le=2)] = 1.0
+    clock_offset_s: float = 0.0
+    record: str = ""
+
+
+class FleetSettings(Strict, frozen=True):
+    """The whole file. `drift_ppm`: how far any clock's rate may be from true, parts in a million."""
+
+    peers: list[Peer]
+    voters: list[Voters]
+    leases: list[LeaseSpec] = []
+    tasks: list[TaskSpec] = []
+    term_s: Seconds = 3.0
+    longest_term_s: Seconds | None = None
+    drift_ppm: Annotated[int, msgspec.Meta(ge=0, le=200_000)] = 10_000
+    grace_s: Annotated[float, msgspec.Meta(ge=0, le=600)] = 10.0
+    ping_s: Seconds = 0.5
+    task_share: Annotated[float, msgspec.Meta(gt=0, le=0.2)] = 0.02
+    listen: str = ""
+    lab: Lab = Lab()
+
+    @property
+    def longest(self) -> int:
+        """The longest term of any lease, µs: what a voter that starts is mute for."""
+        return round((self.longest_term_s or self.term_s) * 1e6)
+
+    @property
+    def sets(self) -> dict[int, tuple[str, ...]]:
+        """Voters by version."""
+        return {v.version: tuple(v.names) for v in self.voters}
+
+    def term(self, spec: LeaseSpec) -> int:
+        """A lease's term, µs."""
+        return round((spec.term_s or self.term_s) * 1e6)
+
+
+def read_fleet(path: str) -> FleetSettings:
+    """The file's settings. Raises `ConfigError` with one line that names the mistake."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = yaml.safe_load(file)
+    except OSError as err:
+        raise ConfigError(f"{path}: {err.strerror}") from None
+    except UnicodeDecodeError:
+        raise ConfigError(f"{path} is not UTF-8 text") from None
+    except (yaml.YAMLError, RecursionError) as err:
+        raise ConfigError(f"{path} is not YAML: {' '.join(str(err).split())}") from None
+    try:
+        told = msgspec.convert(raw, FleetSettings, strict=True)
+    except msgspec.ValidationError as err:
+        raise ConfigError(f"{path}: {err}") from None
+    try:
+        check(told)
+    except (ConfigError, VoterSetError) as err:
+        raise ConfigError(f"{path}: {err}") from None
+    return told
+
+
+def check(told: FleetSettings) -> None:
+    """The rules that a schema can't state. Raises `ConfigError` or `VoterSetError`."""
+    names = [p.name for p in told.peers]
+    _once(names, "peer")
+    _once([p.address for p in told.peers], "address")
+    _once([spec.name for spec in told.leases], "lease")
+    _once([(t.kind, t.lease) for t in told.tasks], "task")
+    if not 1 <= len(names) <= PEERS_MOST:
+        raise ConfigError(f"{len(names)} peers; 1 to {PEERS_MOST} can be")
+    for peer in told.peers:
+        address(peer.address)
+    if told.listen:
+        address(told.listen)
+    _check_voters(told, set(names))
+    _check_leases(told)
+
+
+def _once(values: list, what: str) -> None:
+    for value in values:
+        if values.count(value) > 1:
+            raise ConfigError(f"{what} {value} is named twice")
+
+
+def _check_voters(told: FleetSettings, names: set[str]) -> None:
+    if not told.voters:
+        raise ConfigError("no voters")
+    _once([v.version for v in told.voters], "voters version")
+    newest = max(told.voters, key=lambda v: v.version)
+    for voters in told.voters:
+        _once(voters.names, f"in voters version {voters.version}, broker")
+        if len(voters.names) not in SIZES:
+            count = len(voters.names)
+            raise ConfigError(f"voters version {voters.version} has {count} voters; 3 to 7 can be")
+    for name in newest.names:
+        if name not in names:
+            raise ConfigError(f"voter {name} is not among the peers")
+    check_sets(told.sets)
+
+
+def _check_leases(told: FleetSettings) -> None:
+    known = {spec.name for spec in told.leases}
+    if sum(spec.places for spec in told.leases) > LEASES_MOST:
+        raise ConfigError(f"more than {LEASES_MOST} leases and places")
+    for spec in told.leases:
+        if told.term(spec) > told.longest:
+            raise ConfigError(f"lease {spec.name}: its term is over longest_term_s")
+    for task in told.tasks:
+        if task.lease not in known:
+            raise ConfigError(f"task {task.kind}: no lease {task.lease}")
+        term = next(told.term(s) for s in told.leases if s.name == task.lease)
+        if task.longest_s * 1e6 * 2 > term:
+            raise ConfigError(f"task {task.kind}: longest_s is over half the term of lease {task.lease}")
+        if task.kind == "call":
+            address(task.at)
