Tests of the fleet: its decisions, long random schedules, and several processes with faults between

Change: test_fleet_parts (settings, messages, members, keeping, budget; random schedules of 6 brokers in virtual time, and the same watch seen to find drift beyond the bound), test_fleet_processes (killed, stopped, cut off one way, restarted majority, voters changed by SIGHUP, restart turns, bad datagrams, run without any of it), lab model and lab demo.

--- /dev/null
+++ b/cypressledge/lab/engines.py
@@ -0,0 +1,50 @@
+"""Stand-in engines on lines for the laboratory: they answer after a time, or fall silent. Loopback only."""
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+ROW = b"1\tbread\t12.5\n"
+
+
+class LabEngine:
+    """One engine. `work_s`: how long a query takes; `silent`: takes queries and answers nothing."""
+
+    def __init__(self, name: str, zone: str, work_s: float = 0.02) -> None:
+        self.name, self.zone, self.work_s = name, zone, work_s
+        self.silent = False
+        self.asked = self.answered = 0
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    def member(self) -> dict:
+        """As a directory lists it."""
+        return {"id": self.name, "host_port": f"127.0.0.1:{self.server.server_port}", "locality": self.zone,
+                "cell": 0, "flavor": "node-8c", "phase": "Ready", "size": 4, "up_since_ms": 0}
+
+    def _serve(self, conn, _) -> None:
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        file = conn.makefile("rb")
+        try:
+            while line := file.readline():
+                words = line.decode().split()
+                if words[0] == "want":
+                    file.read(int(words[3]) + 2)
+                    self.asked += 1
+                    gevent.spawn(self._work, conn, words[1])
+        except (OSError, ValueError, IndexError):
+            pass
+
+    def _work(self, conn, name: str) -> None:
+        gevent.sleep(self.work_s)
+        if self.silent:
+            return
+        try:
+            conn.sendall(f"{name} 200 count=1 {len(ROW)}\r\n".encode() + ROW + b"\r\n")
+            self.answered += 1
+        except OSError:
+            pass  # the broker is gone
+
+    def close(self) -> None:
+        """It is gone."""
+        self.server.stop(timeout=0.1)
--- a/cypressledge/lab/resource.py
+++ b/cypressledge/lab/resource.py
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True)
 class Gate:
-    """Where a holder's next call waits on its way: `arrived` once it is there, and it goes on when `opened`."""
+    """Where a holder's next call waits on its way: `arrived` once it is there; it goes on when `opened`."""
 
     arrived: Event
     opened: Event
--- a/cypressledge/lab/site.py
+++ b/cypressledge/lab/site.py
@@ -37,4 +37,4 @@
         "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"offset": 1, "batch": [
             {"offset": 1, "topology": {"revision": 1, "complete": True, "members": members or []}}]},
-        "settings": SETTINGS}
+        "settings": SETTINGS | {"Dcs": sorted({m["locality"] for m in members or []}) or SETTINGS["Dcs"]}}
--- /dev/null
+++ b/tests/test_fleet_parts.py
@@ -0,0 +1,325 @@
+"""The fleet's decisions without sockets: settings, messages, members, keeping of leases, budget, summary."""
+
+import random
+import time
+
+import pytest
+import yaml
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cypressledge.config import ConfigError
+from cypressledge.fleet.budget import Budget, Lane
+from cypressledge.fleet.keeper import places
+from cypressledge.fleet.messages import (
+    LARGEST, VERSION, Ack, Ask, Envelope, Figures, Unreadable, Word, decode, encode,
+)
+from cypressledge.fleet.ranks import line
+from cypressledge.fleet.settings import read_fleet
+from cypressledge.fleet.summary import Fence, Merge
+from cypressledge.lab.virtual import S, World
+
+GOOD = {"peers": [{"name": n, "address": f"127.0.0.1:{9700 + i}"} for i, n in enumerate("abcd")],
+        "voters": [{"version": 1, "names": ["a", "b", "c"]}], "leases": [{"name": "l"}],
+        "tasks": [{"kind": "summary", "lease": "l"}]}
+FOUR = {"version": 2, "names": ["a", "b", "c", "d"]}
+
+
+def told(tmp_path, text):
+    path = tmp_path / "fleet.yaml"
+    path.write_text(text if isinstance(text, str) else yaml.safe_dump(text))
+    return read_fleet(str(path))
+
+
+def test_a_good_file_is_taken(tmp_path):
+    got = told(tmp_path, GOOD | {"voters": [*GOOD["voters"], FOUR]})
+    assert got.sets == {1: ("a", "b", "c"), 2: ("a", "b", "c", "d")} and got.longest == 3 * S
+
+
+@pytest.mark.parametrize("change, word", [
+    ("peers: [", "is not YAML"), ("- 1", "Expected `object`"), ({"colour": 1}, "unknown field `colour`"),
+    ({"peers": GOOD["peers"] * 2}, "named twice"), ({"peers": [{"name": "a b", "address": "x:1"}]}, "regex"),
+    ({"peers": [{"name": "a"}]}, "missing required field `address`"), ({"voters": []}, "no voters"),
+    ({"peers": [*GOOD["peers"], {"name": "e", "address": "nowhere"}]}, "no HOST:PORT"),
+    ({"voters": [{"version": 1, "names": ["a", "b"]}]}, "3 to 7"),
+    ({"voters": [{"version": 1, "names": ["a", "b", "z"]}]}, "voter z is not among the peers"),
+    ({"voters": [*GOOD["voters"], {"version": 2, "names": ["a", "b", "d"]}]}, "more than one voter"),
+    ({"voters": [*GOOD["voters"], FOUR | {"version": 3}]}, "version 2 is missing"),
+    ({"leases": [{"name": "l", "term_s": 9}]}, "over longest_term_s"), ({"term_s": -1}, "> 0"),
+    ({"tasks": [{"kind": "summary", "lease": "m"}]}, "no lease m"),
+    ({"tasks": [{"kind": "dance", "lease": "l"}]}, "Invalid enum value"),
+    ({"tasks": [{"kind": "call", "lease": "l", "at": "x"}]}, "no HOST:PORT"),
+    ({"tasks": [{"kind": "summary", "lease": "l", "longest_s": 2}]}, "over half the term"),
+    ({"leases": [{"name": "l", "places": 0}]}, ">= 1"), ({"drift_ppm": 10**6}, "<= 200000"),
+])
+def test_each_mistake_is_one_plain_line(tmp_path, change, word):
+    with pytest.raises(ConfigError) as caught:
+        told(tmp_path, change if isinstance(change, str) else GOOD | change)
+    assert word in str(caught.value) and "\n" not in str(caught.value)
+
+
+def envelope(**more):
+    return Envelope(**{"v": VERSION, "sender": "a", "to": "b", "run": 1, "incarnation": 1, "voters": 1,
+                       "floor": 1, "items": [Ask("l", 1, 1, 1, 1, 1), Ack(1, "", [Word("c", 2, 0)])]} | more)
+
+
+def test_messages_come_back_as_they_went():
+    assert decode(encode(envelope())) == envelope()
+
+
+@pytest.mark.parametrize("raw, why", [
+    (b"", "garbled"), (b"\xc1", "garbled"), (encode(envelope())[:-3], "garbled"),
+    (b"x" * (LARGEST + 1), "large"), (encode(envelope(v=VERSION + 1)), "version"),
+    (encode(envelope(items=[Ask("l", 1, 1, 1, 1, 1)] * 300)), "large"),
+    (b"\x92\x09\xa3new", "version"), (b"\x91" * 8_000, "garbled"),
+])
+def test_what_cannot_be_read_is_named(raw, why):
+    with pytest.raises(Unreadable, match=why):
+        decode(raw)
+
+
+@given(st.binary(max_size=300))
+@settings(max_examples=300)
+def test_no_bytes_raise_anything_else(raw):
+    try:
+        decode(raw)
+    except Unreadable:
+        pass
+
+
+def test_a_dead_brokers_leases_spread_over_the_living():
+    names = [f"n{i}" for i in range(10)]
+    leases = [f"l{i}" for i in range(400)]
+    firsts = {lease: line(lease, names)[0] for lease in leases}
+    dead = max(names, key=list(firsts.values()).count)
+    after = [line(lease, [n for n in names if n != dead])[0] for lease in leases if firsts[lease] == dead]
+    assert all(line(n, names)[0] == f for n, f in firsts.items())
+    assert len(set(after)) == 9 and max(map(after.count, after)) < len(after) / 3
+
+
+def trio(seed=1, leases=1, brokers=5, voters=3, **more):
+    names = [f"n{i}" for i in range(brokers)]
+    world = World(names, names[:voters], leases, seed, **more)
+    world.run(7 * S)
+    return world
+
+
+def test_members_see_a_death_a_return_and_a_former_self():
+    world = trio()
+    world.kill("n4")
+    world.run(5 * S)
+    assert all("n4" not in n.members.alive() for n in world.nodes.values())
+    old = world.nodes["n0"].members.members["n4"].incarnation
+    world.wall_step = -3_600 * S  # its clock says an hour less than it did
+    world.start("n4")
+    world.run(5 * S)
+    for name, node in world.nodes.items():
+        if name != "n4":
+            member = node.members.members["n4"]
+            assert member.state == 0 and member.incarnation > old
+            assert not node.members.hear(node.now(), "n4", old)  # a late word of its former self
+
+
+def test_a_leaver_is_gone_at_once_and_a_suspect_may_speak_up():
+    world = trio()
+    world.nodes["n4"].members.leave()
+    world.nodes["n4"].turn()
+    world.kill("n4")
+    world.run(S)
+    assert all("n4" not in n.members.alive() for n in world.nodes.values())
+    for other in ("n0", "n1", "n2"):
+        world.cut |= {("n3", other), (other, "n3")}
+    world.run(4 * S)
+    assert world.nodes["n0"].members.members["n3"].state != 0
+    world.cut.clear()
+    world.run(4 * S)
+    assert world.nodes["n0"].members.members["n3"].state == 0
+
+
+def test_a_dead_holder_is_followed_within_a_term_and_a_half():
+    waits = []
+    for seed in range(20):
+        world = trio(seed, leases=4, brokers=8, voters=5)
+        victim = world.holders("lease-0")[0]
+        world.kill(victim)
+        died = world.at
+        while not world.holders("lease-0"):
+            world.run(S // 100)
+        waits.append((world.at - died) / world.term)
+    print(f"terms: {sorted(waits)}")
+    assert max(waits) < 1.5
+
+
+def test_a_give_back_hands_over_at_once():
+    for seed in range(10):
+        world = trio(seed)
+        node = world.nodes[world.holders("lease-0")[0]]
+        node.keeper.give_back("lease-0", node.now(), "by hand", rest=9 * S)
+        node.turn()
+        world.run(S // 5)
+        assert world.holders("lease-0") not in ([], [node.name])
+
+
+def test_two_of_five_voters_dead_cost_nothing_but_time():
+    world = trio(brokers=7, voters=5, leases=10)
+    world.kill("n0")
+    world.kill("n1")
+    world.run(8 * S)
+    assert all(len(world.holders(f"lease-{i}")) == 1 for i in range(10))
+    world.kill("n2")
+    world.run(8 * S)
+    assert not any(world.holders(f"lease-{i}") for i in range(10))
+
+
+def test_a_holder_keeps_its_lease_while_voters_restart_one_after_the_other():
+    world = trio(voters=5, brokers=6)
+    holder, lost = world.holders("lease-0")[0], []
+    world.told_most = lambda w, node, event, *told: event == "lost" and lost.append(node.name)
+    for name in [f"n{i}" for i in range(5) if f"n{i}" != holder]:
+        world.kill(name)
+        world.run(S // 2)
+        world.start(name)
+        world.run(4 * S)
+    assert world.holders("lease-0") == [holder] and not lost
+
+
+class Watch:
+    """Holders and tokens as they come up, over a whole run."""
+
+    def __init__(self, world):
+        self.world, self.tokens, self.faults, self.acquired = world, {}, [], 0
+        world.told_most = self.told
+
+    def told(self, world, node, event, lease, token, why):
+        if event == "acquired":
+            self.acquired += 1
+            if token <= self.tokens.get(lease, 0):
+                self.faults.append(f"{lease}: {node.name} got {token} after {self.tokens[lease]}")
+            self.tokens[lease] = max(token, self.tokens.get(lease, 0))
+
+    def look(self):
+        for lease in self.world.places:
+            if len(holders := self.world.holders(lease.lease)) > 1:
+                self.faults.append(f"{lease.lease}: {holders} at {self.world.at}")
+
+
+def shake(world, rng):
+    """One fault or mending, drawn."""
+    name, kind = rng.choice(world.names), rng.randrange(8)
+    if kind == 0 and name in world.nodes:
+        world.kill(name)
+    elif kind == 1 and name not in world.nodes:
+        world.wall_step += rng.randint(-5, 5) * S
+        world.start(name)
+    elif kind == 2 and name in world.nodes:
+        world.nodes[name].paused_until = world.at + rng.randrange(6 * S)
+    elif kind == 3:
+        some = set(rng.sample(world.names, 3))
+        world.cut = {(a, b) for a in world.names for b in world.names if a in some and b not in some}
+        if rng.random() < 0.5:
+            world.cut |= {(b, a) for a, b in world.cut}
+    elif kind == 4:
+        world.loss, world.copies, world.delay = rng.random() / 2, rng.random() / 2, (100, rng.choice(
+            (2_000, 500_000, 6 * S)))
+    elif kind == 5:
+        world.loss, world.copies, world.delay, world.cut = 0, 0, (100, 2_000), set()
+    elif kind == 6 and name in world.nodes:
+        node = world.nodes[name]
+        for lease in world.places:
+            node.keeper.give_back(lease.lease, node.now(), "drawn")
+        node.turn()
+    elif kind == 7:
+        for voter in rng.sample(world.sets[1], 2):
+            if voter in world.nodes:
+                world.start(voter)
+
+
+@given(st.integers(0, 2**32))
+@settings(max_examples=25)
+def test_long_random_schedules_never_have_two_holders(seed):
+    print(f"seed {seed}")
+    rng = random.Random(seed)
+    names = [f"n{i}" for i in range(6)]
+    rates = {n: rng.choice((0.99, 1.0, 1.01)) for n in names}
+    world = World(names, names[:3], 2, seed, rates=rates)
+    world.places += places("pool", 2, world.term, False)
+    for name in names:
+        world.start(name)
+    watch = Watch(world)
+    for _ in range(60):
+        shake(world, rng)
+        for _ in range(rng.randrange(1, 12)):
+            world.run(rng.randrange(S // 5))
+            watch.look()
+    assert not watch.faults
+    for name in names:
+        if name not in world.nodes:
+            world.start(name)
+        world.nodes[name].paused_until = 0
+    world.loss, world.copies, world.delay, world.cut = 0, 0, (100, 2_000), set()
+    world.run(20 * S)  # all is well again: each lease finds its holder
+    assert all(len(world.holders(f"lease-{i}")) == 1 for i in range(2)) and watch.acquired >= 2
+
+
+def test_drift_beyond_the_bound_is_found_by_the_same_watch():
+    found = 0
+    for seed in range(40):
+        names = [f"n{i}" for i in range(5)]
+        world = World(names, names[:3], 2, seed, rates={"n0": 2.0, "n1": 2.0, "n3": 0.5, "n4": 0.5})
+        watch, rng = Watch(world), random.Random(seed)
+        for _ in range(40):
+            shake(world, rng)
+            for _ in range(6):
+                world.run(rng.randrange(S // 5))
+                watch.look()
+        found += bool(watch.faults)
+    assert found
+
+
+def test_a_budget_holds_tasks_to_their_share():
+    budget, now = Budget(share=0.02), 0
+    for _ in range(1000):
+        now += budget.wait(now)
+        budget.spend(now, 300)
+        now += 300
+    assert budget.spent / now < 0.0201 and budget.overruns == 0
+    budget.spend(now, 5_000)
+    assert budget.overruns == 1 and budget.longest == 5_000
+
+
+def test_the_important_go_first_and_equals_in_turn():
+    lane = Lane()
+    for priority, act in ((5, "a"), (1, "b"), (5, "c"), (0, "d")):
+        lane.put(priority, act)
+    assert [lane.take() for _ in range(5)] == ["d", "b", "a", "c", None]
+
+
+def test_a_summary_adds_up_and_names_who_is_missing():
+    merge = Merge(7, 1, "a")
+    assert merge.add("a", Figures(7, {"lookup": [1, 2, 3, 4]}, ["s-1"], 3, 0))
+    assert merge.add("b", Figures(7, {"lookup": [10, 20, 30, 40], "odd": [1]}, ["s-1", "s-2"], 3, 0))
+    assert not merge.add("c", Figures(6, {"lookup": [9, 9, 9, 9]}, [], 3, 0))
+    got = merge.summary(["a", "b", "c"])
+    assert (got.classes, got.missing, got.brokers) == ({"lookup": [11, 22, 33, 44]}, ["c"], 2)
+    assert got.engines == {"s-1": 2, "s-2": 1}
+
+
+def test_a_fence_turns_down_lower_tokens_and_a_twin():
+    fence = Fence()
+    assert fence.admits(5, 1) and fence.admits(5, 1) and not fence.admits(4, 1) and not fence.admits(5, 2)
+    assert fence.admits(6, 2) and not fence.admits(5, 1)
+
+
+def test_two_hundred_brokers_and_fifty_leases_cost_under_a_hundredth_of_a_core_each():
+    names = [f"n{i}" for i in range(200)]
+    world = World(names, names[:5], 50, 1)
+    world.run(8 * S)
+    before = {n: (x.cpu, x.sent) for n, x in world.nodes.items()}
+    began = time.monotonic()
+    world.run(5 * S)
+    shares = [(x.cpu - before[n][0]) / 5e9 for n, x in world.nodes.items()]
+    sent = [(x.sent - before[n][1]) / 5 for n, x in world.nodes.items()]
+    took = time.monotonic() - began
+    print(f"{max(shares):.4f} of a core, {max(sent):.0f} datagrams a second; took {took:.1f} s")
+    assert sum(shares) / 200 < 0.01 and max(sent) < 300
+    assert sum(len(world.holders(f"lease-{i}")) for i in range(50)) == 50
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,286 @@
+"""Several processes of the program, with what is between them broken; and `run` without any of it."""
+
+import json
+import signal
+import sys
+import time
+
+import gevent
+import pytest
+from gevent import socket as gsocket
+from gevent import subprocess
+
+from cypressledge.fleet.messages import VERSION, Ask, Envelope, encode
+from cypressledge.fleet.settings import read_fleet
+from cypressledge.lab.demo import ask
+from cypressledge.lab.processes import ROOT, Brokers, until
+from cypressledge.lab.relay import Path as Way
+from cypressledge.lab.relay import Relays, udp_ports
+from cypressledge.lab.resource import Resource
+
+TERM = 1.2
+WAIT = 20
+
+
+def run(*args):
+    """A command of the program, while the relays go on."""
+    done = subprocess.run([sys.executable, "-m", "cypressledge", *args], cwd=ROOT, stdout=subprocess.PIPE,
+                          stderr=subprocess.PIPE, timeout=120)
+    return done.returncode, done.stdout.decode(), done.stderr.decode()
+
+
+class Fleet:
+    """So many brokers, a relay between every two, and a resource that a task acts on."""
+
+    def __init__(self, count=3, voters=3, steps=2, places=1):
+        self.names = [f"n{i}" for i in range(count)]
+        self.ports = udp_ports(self.names)
+        self.relays, self.resource, self.brokers = Relays(self.ports, 1), Resource(), Brokers()
+        self.voters = [{"version": 1, "names": self.names[:voters]}]
+        self.more = {"leases": [{"name": "ledger"}, {"name": "summary"},
+                                {"name": "restart", "places": places, "wanted": True}],
+                     "tasks": [{"kind": "call", "lease": "ledger", "at": self.resource.address,
+                                "every_s": 0.05,
+                                "longest_s": TERM / 2, "steps": steps, "step_s": 0.05},
+                               {"kind": "summary", "lease": "summary", "every_s": 0.3, "longest_s": 0.59}]}
+        for name in self.names:
+            self.brokers.add(name, self.settings(name)).start()
+
+    def settings(self, name):
+        return {"peers": [{"name": p, "address": f"127.0.0.1:{self.ports[p]}" if p == name
+                           else self.relays.address(name, p)} for p in self.names],
+                "voters": self.voters, "term_s": TERM, "ping_s": 0.2, "grace_s": 1.0, **self.more}
+
+    def __getitem__(self, name):
+        return self.brokers.all[name]
+
+    def acted(self, after=0, but=""):
+        """The first accepted act after a moment, by another than one."""
+        return next((w for w in self.resource.writes
+                     if w.accepted and w.at > after and w.holder != but), None)
+
+    def wait_act(self, after=0, but="", seconds=WAIT):
+        got = until(lambda: self.acted(after, but), seconds, 0.005)
+        assert got, "\n".join(b.words()[-2000:] for b in self.brokers.all.values())
+        return got
+
+    def last(self):
+        return self.resource.writes[-1]
+
+    def told(self, name, event):
+        return [e for e in self[name].events() if e["event"] == event]
+
+    def cli(self, name, *args):
+        code, out, err = run("fleet", "--at", f"127.0.0.1:{self[name].management}", *args)
+        return code, out + err
+
+    def end(self):
+        self.brokers.end()
+        self.relays.close()
+        self.resource.close()
+
+
+@pytest.fixture
+def fleet(request):
+    made = Fleet(**getattr(request, "param", {}))
+    yield made
+    made.end()
+
+
+def in_order(writes):
+    tokens = [w.token for w in writes if w.accepted]
+    return tokens == sorted(tokens)
+
+
+def test_killed_holder_is_followed(fleet):
+    first = fleet.wait_act()
+    fleet[first.holder].kill()
+    killed = fleet.last().at
+    second = fleet.wait_act(killed, but=first.holder)
+    assert second.token > first.token and (second.at - killed) / 1e6 < 3 * TERM
+    assert in_order(fleet.resource.writes)
+
+
+def test_holder_stopped_for_longer_than_its_term_acts_no_more(fleet):
+    first = fleet.wait_act()
+    gate = fleet.resource.gate(first.holder)
+    assert gate.arrived.wait(WAIT)  # an act of it is on its way, past its own check
+    fleet[first.holder].signal(signal.SIGSTOP)
+    second = fleet.wait_act(fleet.last().at, but=first.holder)
+    gate.opened.set()
+    late = until(lambda: next((w for w in fleet.resource.writes if w.holder == first.holder
+                               and w.at > second.at), None), WAIT)
+    assert late.token < second.token and not late.accepted
+    fleet[first.holder].signal(signal.SIGCONT)
+    assert until(lambda: fleet.told(first.holder, "lease_lost"), WAIT)
+    assert in_order(fleet.resource.writes)
+
+
+def test_sigterm_hands_over_without_a_gap_of_a_term(fleet):
+    first = fleet.wait_act()
+    gevent.sleep(TERM)  # all have seen each other
+    began = time.monotonic()
+    fleet[first.holder].signal(signal.SIGTERM)
+    told = until(lambda: fleet.told(first.holder, "lease_given_back"), WAIT, 0.005)
+    second = fleet.wait_act(fleet.last().at, but=first.holder)
+    assert told and second.token > first.token and time.monotonic() - began < TERM
+
+
+def test_give_back_by_hand_and_what_operators_see(fleet):
+    first = fleet.wait_act()
+    until(lambda: len(json.loads(fleet.cli(first.holder, "peers", "--json")[1])) == 3, WAIT)
+    assert until(lambda: all(p["state"] == "alive" for p in ask(fleet[first.holder], "/fleet/peers")), WAIT)
+    rows = json.loads(fleet.cli(first.holder, "leases", "--json")[1])
+    assert next(r for r in rows if r["lease"] == "ledger")["holder"] == first.holder
+    other = next(n for n in fleet.names if n != first.holder)
+    assert fleet.cli(other, "give-back", "ledger") == (1, "Error: not held here\n")
+    assert fleet.cli(other, "give-back", "nothing") == (1, "Error: no such lease\n")
+    code, words = fleet.cli(first.holder, "give-back", "ledger")
+    assert (code, words) == (0, "ledger given back\n")
+    fleet.wait_act(fleet.last().at, but=first.holder)
+    code, words = fleet.cli(other, "tasks")
+    assert code == 0 and "summary" in words and "call" in words
+    assert until(lambda: fleet.cli(other, "summary")[1].startswith("summed up by"), WAIT)
+    assert until(lambda: ask(fleet[other], "/fleet/summary")["brokers"] == 3, WAIT)
+    fleet[first.holder].kill()
+    assert until(lambda: ask(fleet[other], "/fleet/summary")["missing"] == [first.holder], WAIT)
+
+
+def test_a_holder_that_hears_no_voter_stops_though_it_reaches_the_resource(fleet):
+    first = fleet.wait_act()
+    for pair in fleet.relays.paths:  # one way: what the voters say does not reach it
+        if pair[1] == first.holder:
+            fleet.relays.paths[pair] = Way(cut=True)
+    second = fleet.wait_act(fleet.last().at, but=first.holder)
+    assert second.token > first.token
+    assert until(lambda: fleet.told(first.holder, "lease_lost"), WAIT)
+    fleet.relays.heal()
+    assert in_order(fleet.resource.writes)
+
+
+def test_a_majority_restarted_within_a_term_makes_no_second_holder(fleet):
+    first = fleet.wait_act()
+    for name in [n for n in fleet.names if n != first.holder]:
+        fleet[name].kill()
+        fleet[name].start()
+    restarted = fleet.last().at
+    # The holder's votes run out, the restarted are mute: nobody else may act before a term has passed.
+    after = fleet.wait_act(restarted + round((TERM + 0.5) * 1e6))
+    assert after.token >= first.token and in_order(fleet.resource.writes)
+    others = [w for w in fleet.resource.writes if w.holder != first.holder and w.accepted]
+    assert all(w.at >= restarted + TERM * 0.9e6 for w in others)
+
+
+@pytest.mark.parametrize("fleet", [{"count": 5, "voters": 3}], indirect=True)
+def test_voters_change_one_at_a_time_by_sighup(fleet):
+    fleet.wait_act()
+    v2 = {"version": 2, "names": ["n0", "n1", "n2", "n3"]}
+    v3 = {"version": 3, "names": ["n1", "n2", "n3"]}
+
+    def reread(voters, event, who=fleet.names):
+        fleet.voters = voters
+        for name in who:
+            before = len(fleet.told(name, event))
+            fleet[name].fleet_file.write_text(json.dumps(fleet.settings(name)))  # JSON is YAML
+            fleet[name].signal(signal.SIGHUP)
+            assert until(lambda n=name, b=before: len(fleet.told(n, event)) > b, WAIT), fleet[name].words()
+
+    reread([fleet.voters[0], v2 | {"names": ["n0", "n3", "n4"]}], "fleet_reload_refused", ["n0"])
+    reread([fleet.voters[0], v2], "fleet_reloaded")
+    reread([fleet.voters[0], v2, v3], "fleet_reload_refused", ["n1"])  # the last change has not settled
+    assert "not settled" in fleet.told("n1", "fleet_reload_refused")[-1]["why"]
+    gevent.sleep(1.0 + 2 * TERM)  # the grace, and the longest term after it
+    reread([v2, v3], "fleet_reloaded")
+    fleet.wait_act(fleet.last().at)
+    fleet["n0"].kill()
+    fleet["n4"].kill()
+    fleet.wait_act(fleet.last().at + round(2 * TERM * 1e6))  # a majority of n1, n2, n3 carries it
+    assert in_order(fleet.resource.writes)
+
+
+def test_restart_turns_go_one_at_a_time(fleet):
+    fleet.wait_act()
+    gevent.sleep(TERM)
+    assert fleet.cli("n0", "restart-turn", "--wait", "10")[0] == 0
+    code, words = fleet.cli("n1", "restart-turn", "--wait", "0.5")
+    assert code == 1 and "no turn within" in words
+    assert fleet["n0"].leave() == 0
+    code, words = fleet.cli("n1", "restart-turn", "--wait", "2")  # n0 is missing until it is back
+    assert code == 1 and "missing: n0" in words
+    fleet["n0"].start()
+    assert fleet.cli("n1", "restart-turn", "--wait", "15")[0] == 0
+    assert fleet.cli("n1", "restart-turn", "--over") == (0, "over\n")
+
+
+def test_what_a_bad_peer_sends_costs_a_count_and_nothing_else(fleet):
+    first = fleet.wait_act()
+    target = ("127.0.0.1", fleet.ports[first.holder])
+    sock = gsocket.socket(gsocket.AF_INET, gsocket.SOCK_DGRAM)
+    good = Envelope(VERSION, "nobody", first.holder, 1, 1, 1, 1, [Ask("ledger", 9, 9, 1 << 60, 1, 1)])
+    for raw in (b"\xc1", b"", b"y" * 9_000, encode(good), encode(Envelope(VERSION + 1, *[
+            getattr(good, f) for f in good.__struct_fields__[1:]]))):
+        sock.sendto(raw, target)
+    for _ in range(3_000):
+        sock.sendto(b"flood", target)
+        gevent.sleep(0)
+    sock.close()
+    fleet.wait_act(fleet.last().at)
+    fleet[first.holder].signal(signal.SIGUSR1)
+    line = until(lambda: next((w for w in fleet[first.holder].words().splitlines()
+                               if "counters (asked)" in w), None), WAIT)
+    counts = dict(pair.split("=") for pair in line.split() if "=" in pair)
+    for name in ("bad_garbled", "bad_large", "bad_version", "misdirected", "flooded"):
+        assert int(counts[f"fleet.{name}"]) >= 1, line
+    assert not fleet.told(first.holder, "lease_lost")
+
+
+def test_a_bad_file_is_one_plain_line_and_exit_2(tmp_path):
+    brokers = Brokers(str(tmp_path))
+    broker = brokers.add("n1", {"peers": [], "voters": []})
+    broker.start()
+    assert broker.process.wait(WAIT) == 2
+    assert broker.words().splitlines() == [f"cypressledge: {broker.fleet_file}: 0 peers; 1 to 200 can be"]
+
+
+def test_run_imports_nothing_of_it(tmp_path):
+    """As `deploy/balancer.toml` starts it: no package of the fleet, the laboratory or their libraries."""
+    brokers = Brokers(str(tmp_path))
+    broker = brokers.add("n1", {})
+    code = ("import os, sys; from cypressledge.__main__ import assemble; assemble([], os.environ); "
+            "print(*sorted(sys.modules))")
+    done = subprocess.run([sys.executable, "-O", "-c", code], cwd=ROOT, stdout=subprocess.PIPE,
+                          env={"ROUTER_CONFIG": str(broker.config_file), "PATH": ""}, timeout=WAIT)
+    modules = done.stdout.decode().split()
+    assert "cypressledge.core" in modules
+    bad = ("cypressledge.fleet", "cypressledge.lab", "cypressledge.cli", "msgspec", "yaml", "structlog",
+           "click", "tabulate")
+    assert [m for m in modules if m.startswith(bad)] == []
+
+
+def lab(*args):
+    code, out, err = run("lab", *args)
+    print(out + err)
+    return code, out.splitlines()
+
+
+@pytest.mark.parametrize("seed", ["11", "21"])
+def test_drawn_faults_never_make_two_holders(seed):
+    code, lines = lab("leases", "--brokers", "5", "--voters", "3", "--seed", seed, "--seconds", "10",
+                      "--term", "1")
+    assert code == 0 and ", overlaps 0, stale acts accepted 0, " in lines[-1]
+
+
+def test_without_a_fence_a_stopped_holder_is_found():
+    code, lines = lab("leases", "--brokers", "5", "--voters", "3", "--seed", "5", "--seconds", "8",
+                      "--term", "1", "--no-fence", "--only", "stop in an act")
+    assert code == 1 and ", overlaps 0," not in lines[-1]
+
+
+def test_the_first_command_works():
+    code, lines = lab("demo", "--seconds", "3")
+    assert code == 0 and any("has followed after" in line for line in lines)
+    assert "lookups served" in lines[-1]
+
+
+def test_the_file_that_is_shipped_is_good():
+    assert read_fleet(str(ROOT / "deploy" / "fleet.yaml")).sets == {1: ("n1", "n2", "n3")}
