--- a/cypressledge/fleet/members.py
+++ b/cypressledge/fleet/members.py
@@ -16,6 +16,7 @@
 ALIVE, SUSPECT, GONE = 0, 1, 2
 STATES = ("alive", "suspect", "gone")
 WORDS_MOST = 24  # words on one ping, but for the first to a broker that has just started
+FIRST_WORDS = 96  # on that first one: under a datagram's bound whatever the names
 THROUGH = 3  # peers that are asked to ping another
 
 
@@ -184,7 +185,8 @@
         member = self.members.get(to)
         own = Word(self.name, self.incarnation, GONE if self.leaving else ALIVE)
         if member is None or member.state != ALIVE or member.heard - member.since < 2 * self.period:
-            return [own] + [self._word(m) for m in self.members.values() if m.incarnation]
+            known = [m for m in self.members.values() if m.incarnation]
+            return [own] + [self._word(m) for m in self.random.sample(known, min(FIRST_WORDS, len(known)))]
         news = sorted(self.words, key=self.words.__getitem__, reverse=True)[:WORDS_MOST]
         for name in news:
             self.words[name] -= 1
--- a/cypressledge/lab/cost.py
+++ b/cypressledge/lab/cost.py
@@ -17,6 +17,7 @@
 from cypressledge.lab.processes import BrokerProcess, Brokers, until
 from cypressledge.lab.relay import udp_ports
 
+LOADED = 4  # brokers that get load
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -41,7 +42,7 @@
         "tasks": [{"kind": "summary", "lease": "summary", "every_s": 0.5, "longest_s": 1.0}]}
 
 
-def _measure(count: int, leases: int, seconds: float, on: bool) -> list:
+def _measure(count: int, leases: int, seconds: float, on: bool, clients_each: int, pause: float) -> list:
     engines = [LabEngine(f"s-{i + 1}", "room1", 0.005) for i in range(4)]
     fleet, parts = Brokers(), []
     try:
@@ -53,7 +54,7 @@
         if not until(lambda: all("listening on" in b.words() for b in brokers), 30 + count):
             raise RuntimeError("the brokers did not start")
         gevent.sleep(8)
-        clients = [Client([b.port], 0.02, 0) for b in brokers[:4] for _ in range(2)]
+        clients = [Client([b.port], pause, 0) for b in brokers[:LOADED] for _ in range(clients_each)]
         parts = [gevent.spawn(c.run) for c in clients]
         gevent.sleep(1)
         before = [cpu_s(b) for b in brokers]
@@ -62,11 +63,12 @@
         began = time.monotonic()
         gevent.sleep(seconds)
         took = time.monotonic() - began
-        idle = [(cpu_s(b) - was) / took * 100 for b, was in zip(brokers, before, strict=True)][4:]
+        idle = [(cpu_s(b) - was) / took * 100 for b, was in zip(brokers, before, strict=True)][LOADED:]
         times = sorted(t for c in clients for t in c.latencies)
         middle, p99 = times[len(times) // 2] * 1e3, times[int(len(times) * 0.99)] * 1e3
-        return ["on" if on else "off", f"{max(map(memory_mb, brokers)):.1f}",
-                f"{sum(idle) / len(idle):.2f}", f"{max(idle):.2f}", len(times), f"{middle:.2f}", f"{p99:.2f}"]
+        lost = sum(e["event"] == "lease_lost" for b in brokers for e in b.events())
+        return ["on" if on else "off", f"{max(map(memory_mb, brokers)):.1f}", f"{sum(idle) / len(idle):.2f}",
+                f"{max(idle):.2f}", len(times), f"{middle:.2f}", f"{p99:.2f}", lost]
     finally:
         gevent.killall(parts)
         fleet.end()
@@ -75,9 +77,11 @@
 
 
 def run(brokers: int, leases: int, seconds: float, say: Callable[[str], None]) -> int:
-    """Measure without and with; tell."""
-    rows = [_measure(brokers, leases, seconds, on) for on in (False, True)]
-    say(tabulate(rows, headers=["fleet", "memory MB, most", "cpu % unloaded, mean", "most", "lookups",
-                                "median ms", "p99 ms"]))
-    say(f"{brokers} brokers, {leases} leases, {seconds:g} s each; load on the first four, engines take 5 ms")
+    """Measure without and with, under a light load and one that keeps the brokers busy; tell."""
+    rows = [[title, *_measure(brokers, leases, seconds, on, *load)]
+            for title, load in (("light", (2, 0.02)), ("heavy", (24, 0.0))) for on in (False, True)]
+    say(tabulate(rows, headers=["load", "fleet", "memory MB, most", "cpu % unloaded, mean", "most", "lookups",
+                                "median ms", "p99 ms", "leases lost"]))
+    say(f"{brokers} brokers, {leases} leases, {seconds:g} s each; load on the first {LOADED}, "
+        "engines take 5 ms")
     return 0
