--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -1,8 +1,8 @@
 """One real broker: reads its configuration, puts the parts together, and heeds signals.
 
 Run with `python -m cypressledge`; ROUTER_CONFIG names the configuration. `--service FILE` adds the
-hosted service's front, `--fleet FILE` what brokers do together. With `fleet` or `lab` as the first word it is
-the operators' command line instead (`cli.py`).
+hosted service's front, `--fleet FILE` what brokers do together. With `fleet`, `zone` or `lab` as the first
+word it is the operators' command line instead (`cli.py`).
 """
 
 import argparse
@@ -29,7 +29,7 @@
 from cypressledge.service import Service, ServiceConfig, read_service
 from cypressledge.tenants import Tenants
 
-COMMANDS = ("fleet", "lab")  # first words that are the command line's
+COMMANDS = ("fleet", "zone", "lab")  # first words that are the command line's
 LINGER = 0.72  # seconds that a stopping broker goes on taking requests; what came later might meet SIGKILL
 LAST_WORDS = 0.5  # seconds for the last answers to leave
 TEND = 0.5  # seconds between looks at the engines' connections
@@ -89,7 +89,8 @@
         """What brokers do together. Imported here alone: without it a broker is as it was."""
         from cypressledge.fleet.part import FleetPart
 
-        part = FleetPart(file, self.config.name, self.config.classes, self.core, self.counters)
+        config = self.config
+        part = FleetPart(file, config.name, config.classes, config.zones, self.core, self.counters)
         self.parts += part.parts
         if self.management is not None:
             part.calls(self.management)
--- a/cypressledge/cli.py
+++ b/cypressledge/cli.py
@@ -140,6 +140,51 @@
         time.sleep(0.1)
 
 
+@cli.group()
+@click.option("--at", envvar="ROUTER_MANAGEMENT", required=True, metavar="HOST:PORT",
+              help="A broker's management address.")
+@click.pass_context
+def zone(ctx: click.Context, at: str) -> None:
+    """Zones: how they stand, and leaving and returning by hand."""
+    try:
+        ctx.obj = address(at)
+    except ConfigError as err:
+        raise click.UsageError(f"--at: {err}") from None
+
+
+@zone.command()
+@as_json
+@click.pass_obj
+def status(at: tuple[str, int], as_json: bool) -> None:
+    """Each zone's stage and share, the plan they come from, and why."""
+    told = json.loads(call(at, "GET", "/zone/status"))
+    if as_json:
+        click.echo(json.dumps(told, indent=2))
+        return
+    click.echo(f"plan {told['number']} of {told['planner'] or 'nobody'} (token {told['token']}), "
+               f"heard {told['heard_s']} s ago")
+    show(told["zones"], False)
+
+
+def wish(name: str, words: str):
+    """A command that passes an operator's wish on to the planner."""
+    @zone.command(name, help=words)
+    @click.argument("zone_name", metavar="ZONE")
+    @click.option("--for", "span_s", default=600.0, show_default=True, help="Seconds; then it ends.")
+    @click.option("--reason", required=True, help="Why: it stands in the plan and the logs.")
+    @click.option("--dry-run", is_flag=True, help="Only say what would come of it; asks the planner alone.")
+    @click.pass_obj
+    def command(at: tuple[str, int], zone_name: str, span_s: float, reason: str, dry_run: bool) -> None:
+        body = json.dumps({"zone": zone_name, "what": name, "span_s": span_s, "why": reason})
+        click.echo(call(at, "POST", "/zone/dry-run" if dry_run else "/zone/wish", body).strip())
+    return command
+
+
+wish("leave", "Leave a zone, as far as the others bear its load.")
+wish("return", "Return to a zone, at the pace that its engines bear.")
+wish("hold", "Keep a zone as it is, whatever is found.")
+
+
 @cli.group()
 def lab() -> None:
     """The laboratory: what the program does when parts of the system fail."""
@@ -181,6 +226,18 @@
     sys.exit(run(seconds, live=sys.stdout.isatty() and os.environ.get("TERM") != "dumb"))
 
 
+@lab.command("zones")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--runs", default=1, show_default=True, help="Schedules, each played off and on.")
+@click.option("--kind", default="", type=click.Choice(["", "silent", "reset", "slow", "none"]),
+              help="How the zone fails; drawn where it is not named.")
+def lab_zones(seed: int, runs: int, kind: str) -> None:
+    """Lose a zone under several brokers, with the fleet's part off and on, and compare."""
+    from cypressledge.lab.zones import run
+
+    sys.exit(run(seed, runs, kind, click.echo))
+
+
 @lab.command()
 @click.option("--brokers", default=12, show_default=True, type=click.IntRange(5, 60))
 @click.option("--leases", "leases_", default=50, show_default=True)
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -12,7 +12,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from typing import Protocol
 
@@ -151,6 +151,16 @@
         return self.request.query
 
 
+class Observer(Protocol):
+    """Whoever is told how attempts go; none of these may block."""
+
+    def heard(self, attempt: Attempt) -> None:
+        """The engine has said something of an attempt."""
+
+    def ended(self, attempt: Attempt, outcome: c.Outcome, latency: int) -> None:
+        """An attempt has ended, after so many µs."""
+
+
 class Core:
     """The ledger, and the one greenlet that runs the module."""
 
@@ -165,6 +175,9 @@
         self.lists: dict[str, list[tuple[c.Entry, Place]]] = {}  # as their sources tell them
         self.last_kind = c.ListKind.CACHED
         self.maintenance = Maintenance()
+        # What the fleet's part adds where it is on: who is told how attempts go, and which engines it closes.
+        self.observer: Observer | None = None
+        self.shut: Callable[[c.Entry], bool] | None = None
         self.ready: set[int] = set()
         self.requests: dict[int, Request] = {}
         self.names: set[str] = set()
@@ -238,9 +251,19 @@
         if self.lists:
             self._tell()
 
+    def retell(self) -> None:
+        """What is closed has changed: the module sees the lists anew, at once."""
+        self._tell()
+
+    def _entry(self, place: Place, entry: c.Entry) -> c.Entry:
+        """How the module is to see an engine that a list names."""
+        entry = self.maintenance.entry(place.name, entry)
+        if self.shut is not None and entry.state is c.State.READY and self.shut(entry):
+            return replace(entry, state=c.State.DRAINING)
+        return entry
+
     def _tell(self) -> None:
-        out = self.maintenance
-        whole = [(out.entry(p.name, e), p) for held in self.lists.values() for e, p in held]
+        whole = [(self._entry(p, e), p) for held in self.lists.values() for e, p in held]
         self.ready = {e.engine for e, _ in whole if e.state is c.State.READY}
         self._post(self._listed, self.last_kind, whole)
 
@@ -348,6 +371,8 @@
 
     def _noted(self, attempt: Attempt, kind, value) -> None:
         if attempt.open:
+            if self.observer is not None:
+                self.observer.heard(attempt)
             self.events.append(c.Note(attempt.request.number, attempt.hop, attempt.place.id, kind, value))
 
     def _rows(self, attempt: Attempt, rows: bytes) -> None:
@@ -377,6 +402,8 @@
             elif request.begun is attempt or fault and fault.final:
                 self._answer(request, "failed", fault or Fault(f"engine: {outcome.name.lower()}"))
         latency = self.now() - attempt.sent_at
+        if self.observer is not None:
+            self.observer.ended(attempt, outcome, latency)
         self.events.append(c.Ended(
             request.number, attempt.hop, attempt.place.id, outcome, request.over, latency))
         self._forget(request)
--- /dev/null
+++ b/cypressledge/fleet/evidence.py
@@ -0,0 +1,102 @@
+"""What one broker's own links saw of each engine, in windows of time. No I/O, told the time (µs).
+
+No probes, and no look into answers: only how attempts ended, how late, and which have been quiet for long.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from cypressledge.contract import Outcome
+from cypressledge.fleet.messages import EngineSeen, Sight
+
+WINDOW = 250_000  # µs
+WINDOWS = 8  # that a sight covers: 2 s
+ENGINES_MOST = 64  # that a sight names: those tried most
+LATE = 4.0  # times the expected run time
+QUIET = 3.0  # times the expected run time that an attempt may be silent for, and
+QUIET_LEAST = 300_000  # µs at the least
+
+REFUSED = frozenset((Outcome.CONNECT_FAILED,))
+BROKEN = frozenset((Outcome.RESET, Outcome.ERROR))
+SILENT = frozenset((Outcome.TIMEOUT,))
+
+
+@dataclass(slots=True)
+class Tally:
+    """How attempts at one engine went in one window."""
+
+    ok: int = 0
+    late: int = 0
+    refused: int = 0
+    broken: int = 0
+    silent: int = 0
+    work: int = 0
+
+    def add(self, other: "Tally") -> None:
+        """Add another window's."""
+        self.ok += other.ok
+        self.late += other.late
+        self.refused += other.refused
+        self.broken += other.broken
+        self.silent += other.silent
+        self.work += other.work
+
+    @property
+    def tries(self) -> int:
+        """All of them."""
+        return self.ok + self.late + self.refused + self.broken + self.silent
+
+
+@dataclass(slots=True)
+class Evidence:
+    """One broker's tallies, by window and engine."""
+
+    windows: deque = field(default_factory=lambda: deque(maxlen=WINDOWS))
+    counted: set = field(default_factory=set)  # attempts that are out and were found quiet: counted once
+
+    def _tally(self, now: int, engine: int) -> Tally:
+        number = now // WINDOW
+        if not self.windows or self.windows[-1][0] != number:
+            self.windows.append((number, {}))
+        return self.windows[-1][1].setdefault(engine, Tally())
+
+    def ended(self, now: int, engine: int, attempt: object, outcome: Outcome, latency: int,
+              expected: int, work: int = 0) -> None:
+        """An attempt has ended. What was called off, was full or never left says nothing of the engine."""
+        if attempt in self.counted:
+            self.counted.discard(attempt)
+            if outcome is not Outcome.OK:
+                return
+        if outcome is Outcome.OK:
+            tally = self._tally(now, engine)
+            tally.work += work
+            if latency > LATE * expected + QUIET_LEAST:
+                tally.late += 1
+            else:
+                tally.ok += 1
+        elif outcome in REFUSED:
+            self._tally(now, engine).refused += 1
+        elif outcome in BROKEN:
+            self._tally(now, engine).broken += 1
+        elif outcome in SILENT:
+            self._tally(now, engine).silent += 1
+
+    def out(self, now: int, open_: list[tuple[object, int, int, int]]) -> None:
+        """Look at the attempts that are out: (attempt, engine, µs without a word, expected µs)."""
+        alive = {attempt for attempt, *_ in open_}
+        self.counted &= alive
+        for attempt, engine, quiet, expected in open_:
+            if attempt not in self.counted and quiet > max(QUIET * expected, QUIET_LEAST):
+                self.counted.add(attempt)
+                self._tally(now, engine).silent += 1
+
+    def sight(self, now: int) -> Sight:
+        """What the last windows say, bounded."""
+        oldest = now // WINDOW - WINDOWS
+        sums: dict[int, Tally] = {}
+        for number, engines in self.windows:
+            if number > oldest:
+                for engine, tally in engines.items():
+                    sums.setdefault(engine, Tally()).add(tally)
+        most = sorted(sums.items(), key=lambda e: (-e[1].tries, e[0]))[:ENGINES_MOST]
+        return Sight([EngineSeen(e, t.ok, t.late, t.refused, t.broken, t.silent, t.work) for e, t in most])
--- a/cypressledge/fleet/exchange.py
+++ b/cypressledge/fleet/exchange.py
@@ -62,7 +62,7 @@
 
     def out(self, peer: str, item: object) -> None:
         """Queue an item; it leaves with the next `flush`."""
-        if peer not in self.addresses:
+        if peer not in self.addresses and peer != self.name:
             self.counters.add("fleet.unknown_peer")
             return
         queue = self.queues.setdefault(peer, [])
@@ -71,16 +71,20 @@
             return
         queue.append(item)
 
-    def flush(self) -> None:
-        """Send what is queued."""
+    def flush(self, breathe: Callable[[], None] = lambda: None) -> None:
+        """Send what is queued; what is for this broker itself needs no socket. `breathe` is called between
+        datagrams, and may let others have their turn."""
         queues, self.queues = self.queues, {}
+        if own := queues.pop(self.name, None):
+            self.inbox.append(Envelope(VERSION, self.name, self.name, *self.head(), own))
+            self.woken.set()
         for peer, items in queues.items():
             for at in range(0, len(items), ITEMS_EACH):
                 self._send(peer, items[at:at + ITEMS_EACH])
+                breathe()
 
     def _send(self, peer: str, items: list) -> None:
-        run, incarnation, voters, floor = self.head()
-        raw = encode(Envelope(VERSION, self.name, peer, run, incarnation, voters, floor, items))
+        raw = encode(Envelope(VERSION, self.name, peer, *self.head(), items))
         if len(raw) > SMALL and len(items) > 1:
             half = len(items) // 2
             self._send(peer, items[:half])
--- a/cypressledge/fleet/keeper.py
+++ b/cypressledge/fleet/keeper.py
@@ -305,7 +305,11 @@
             self._begin_at(now, seat)
         elif len(waits) == len(self.electorate.voters) or len(waits) >= majority:
             behind = (self.rank(seat.place.lease) or 0) * self._stagger(seat)
-            self._rest(now, seat, min(waits[majority - 1] + behind, seat.place.term) + MS)
+            wait = min(waits[majority - 1] + behind, seat.place.term) + MS
+            # A far end is looked at a little early, together with others; the last look times the asking.
+            beat = seat.place.term // 6
+            early = (now + wait) % beat
+            self._rest(now, seat, wait - early if wait - early > beat else wait)
 
     def _begin_at(self, now: int, seat: Seat) -> None:
         """Ask at once if first in line; the others leave the first a moment."""
--- a/cypressledge/fleet/messages.py
+++ b/cypressledge/fleet/messages.py
@@ -140,8 +140,62 @@
     engines: dict[str, int]
 
 
+class EngineSeen(msgspec.Struct, frozen=True, array_like=True):
+    """How one broker's attempts at one engine went. `engine`: its number, as all brokers have it."""
+
+    engine: int
+    ok: int
+    late: int
+    refused: int
+    broken: int
+    silent: int
+    work: int = 0  # µs of processor work that was answered
+
+
+class Sight(Item, frozen=True, tag="sight"):
+    """What one broker's links saw in the last two seconds."""
+
+    engines: list[EngineSeen]
+
+
+class ZoneStands(msgspec.Struct, frozen=True, array_like=True):
+    """Where a zone is. `share` in permille; `age` and `hand_left` in µs; `by_hand`: out, hold or nothing."""
+
+    name: str
+    stage: str
+    share: int
+    age: int
+    flaps: int
+    by_hand: str
+    hand_left: int
+    why: str
+
+
+class Plan(Item, frozen=True, tag="plan"):
+    """The fleet's plan for its zones, by the holder of `token`."""
+
+    token: int
+    run: int
+    number: int
+    zones: list[ZoneStands]
+
+
+class ZoneWish(Item, frozen=True, tag="zonewish"):
+    """An operator's wish, passed on to the planner. `what`: leave, hold, return; `span` in µs."""
+
+    zone: str
+    what: str
+    span: int
+    why: str
+
+
+class PlanWanted(Item, frozen=True, tag="planwanted"):
+    """A broker that starts, or has heard no plan for long, asks for the newest."""
+
+
 Items = (Look | Ask | GiveBack | Seen | Grant | Refuse | Freed | Ping | Ack | PingFor
-         | FiguresWanted | Figures | Summary)
+         | FiguresWanted | Figures | Summary | Sight | Plan
+         | PlanWanted | ZoneWish)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/cypressledge/fleet/part.py
+++ b/cypressledge/fleet/part.py
@@ -7,8 +7,10 @@
 import json
 import os
 import time
+from collections import deque
 
 import gevent
+import msgspec
 
 from cypressledge.config import ConfigError, address
 from cypressledge.contract import State
@@ -22,14 +24,18 @@
 from cypressledge.fleet.lease import Electorate, VoterSetError
 from cypressledge.fleet.members import STATES, Member, Members
 from cypressledge.fleet.messages import (
-    Ack, Envelope, Figures, FiguresWanted, Ping, PingFor, Summary,
+    Ack, Envelope, Figures, FiguresWanted, Ping, PingFor, Plan, PlanWanted, Sight, Summary, ZoneWish,
 )
+from cypressledge.fleet.ranks import line
 from cypressledge.fleet.runner import Runner, Task
-from cypressledge.fleet.settings import FleetSettings, TaskSpec, read_fleet
+from cypressledge.fleet.settings import FleetSettings, TaskSpec, Wish, read_fleet
 from cypressledge.fleet.summary import figures
 from cypressledge.fleet.tasks import Call, Summaries
+from cypressledge.fleet.zoneplan import Pace
+from cypressledge.fleet.zones import STEP_S, Zones
 
 AT_ONCE = 16  # datagrams looked at before others have their turn
+SLICE_US = 300  # of the owner's turn, after which requests go first
 PAUSE = 0.01  # seconds between turns: what comes close together is answered together
 RUN_BITS = 62
 QUIET = ("not_won", "voted_not")  # events that are counted only
@@ -38,8 +44,8 @@
 class FleetPart:
     """What one broker has to do with the others."""
 
-    def __init__(self, path: str, name: str, classes: tuple[str, ...], core: Core,
-                 counters: Counters) -> None:
+    def __init__(self, path: str, name: str, classes: tuple[str, ...], zones: tuple[str, ...],
+                 core: Core, counters: Counters) -> None:
         self.path, self.name, self.classes, self.core, self.counters = path, name, classes, core, counters
         told = self.told = read_fleet(path)
         own = next((p for p in told.peers if p.name == name), None)
@@ -61,6 +67,7 @@
                              wall, self.run_id, self.exchange.out, self._lease_told)
         self.summaries = Summaries(name, self._figures, lambda: sorted(self.members.alive() - {name}),
                                    self.exchange.out, self.clock.now)
+        self.zones = self._zones(told, zones)
         self.runner = Runner([self._task(t) for t in told.tasks], self._grant, self.clock.now,
                              Budget(told.task_share), self._event)
         self.turns: set[str] = set()
@@ -71,6 +78,15 @@
         self.pending: list[tuple[str, str, int, str]] = []
         self.parts = [self.exchange.read, self.own, self.runner.turns]
         self.stopped = False
+        self.began = 0
+        self.turn_times: deque[int] = deque(maxlen=4_096)  # µs: what a request may have to wait for a turn
+        counters.gauge("fleet.turn_p99_us", self.turn_p99)
+        counters.gauge("fleet.step_longest_us", lambda: self.runner.budget.longest)
+
+    def turn_p99(self) -> int:
+        """µs of the longest of a hundred turns of the owner, over the last minutes."""
+        times = sorted(self.turn_times)
+        return times[len(times) * 99 // 100] if times else 0
 
     def _head(self) -> tuple[int, int, int, int]:
         now = self.clock.now()
@@ -78,15 +94,30 @@
 
     def _name_peers(self, told: FleetSettings) -> None:
         self.exchange.name_peers({p.name: address(p.address) for p in told.peers if p.name != self.name})
-        # A voter's own vote goes the same way as all others', through its own socket.
-        self.exchange.addresses[self.name] = self.exchange.sock.getsockname()
 
     @staticmethod
     def _places(told: FleetSettings) -> list[Place]:
         return [p for spec in told.leases
                 for p in places(spec.name, spec.places, told.term(spec), spec.wanted)]
 
+    def _zones(self, told: FleetSettings, names: tuple[str, ...]) -> Zones | None:
+        """Zone failover, where a task asks for it."""
+        spec = next((t for t in told.tasks if t.kind == "zones"), None)
+        if spec is None:
+            return None
+        site, pace = self.core.settings, told.zone_pace
+        where = {p.name: p.zone for p in told.peers}
+        return Zones(
+            self.name, self.core, names, where, Pace(
+                confirm=round(pace.confirm_s * 1e6), hold=round(pace.hold_s * 1e6), margin=pace.margin,
+                hold_most=round(pace.hold_most_s * 1e6), bear=pace.bear,
+                start=site.start_capacity, warm=site.warm_within or Pace.warm),
+            self.clock.now, self.exchange.out, lambda: sorted(self.members.alive() - {self.name}),
+            lambda: line(spec.lease, self.members.alive()), self._event)
+
     def _task(self, spec: TaskSpec) -> Task:
+        if spec.kind == "zones":
+            return Task(spec.kind, spec.lease, self.zones.act, STEP_S, spec.longest_s, spec.priority)
         if spec.kind == "summary":
             act = self.summaries.act
         else:
@@ -101,18 +132,30 @@
                       mute_s=round(self.keeper.voter.mute(self.clock.now()) / 1e6, 2))
         self.members.greet()
         while not self.stopped:
+            self.began = time.perf_counter_ns()
             now = self.clock.now()
             for _ in range(AT_ONCE):
                 if not self.exchange.inbox:
                     break
                 self._receive(now, self.exchange.inbox.popleft())
             due = min(self.members.tick(now), self.keeper.tick(now))
+            if self.zones is not None:
+                due = min(due, self.zones.tick(now))
             self.keeper.set_alive(self.members.alive(), now)
             self._take_turns(now)
             self._settle()
-            self.exchange.flush()
+            self.exchange.flush(self._breathe)
+            self.turn_times.append((time.perf_counter_ns() - self.began) // 1000)
             self._wait(due)
 
+    def _breathe(self) -> None:
+        """Guards against a turn that keeps requests waiting: a send may take the system long."""
+        took = (time.perf_counter_ns() - self.began) // 1000
+        if took > SLICE_US:
+            self.turn_times.append(took)
+            gevent.sleep(0)
+            self.began = time.perf_counter_ns()
+
     def _wait(self, due: int) -> None:
         if not self.exchange.inbox:
             self.exchange.woken.clear()
@@ -131,6 +174,9 @@
         for item in envelope.items:
             if isinstance(item, Ping | Ack | PingFor):
                 self.members.receive(now, envelope.sender, item)
+            elif isinstance(item, Sight | Plan | PlanWanted | ZoneWish):
+                if self.zones is not None:
+                    self.zones.receive(envelope.sender, item)
             elif isinstance(item, FiguresWanted | Figures | Summary):
                 self.summaries.receive(envelope.sender, item)
             else:
@@ -146,6 +192,8 @@
                 self.runner.begin(lease, group)
             elif event == "lost":
                 self.runner.call_off(lease)
+            if event in ("lost", "given_back") and self.zones is not None:
+                self.zones.step_down_from(lease)
             self.counters.add(f"fleet.{event}")
             if event not in QUIET:
                 self.log.info(f"lease_{event}", lease=lease, token=token, why=why)
@@ -231,7 +279,8 @@
             told = read_fleet(self.path)
             if self.name not in (p.name for p in told.peers):
                 raise ConfigError(f"{self.path}: this broker, {self.name}, is not among the peers")
-            fixed = ("term_s", "longest", "drift_ppm", "listen", "lab", "tasks", "ping_s", "task_share")
+            fixed = ("term_s", "longest", "drift_ppm", "listen", "lab", "tasks", "ping_s", "task_share",
+                     "zone_pace")
             for key in fixed:
                 if getattr(told, key) != getattr(self.told, key):
                     raise ConfigError(f"{self.path}: another {key} needs a restart of all brokers")
@@ -319,7 +368,8 @@
         return [{"task": t.name, "lease": t.lease, "running_under": sorted(t.running), "acts": t.acts,
                  "called_off": t.called_off, "overdue": t.overdue, "failed": t.failed, "priority": t.priority,
                  "cpu_ms": round(self.runner.budget.spent / 1e3, 2),
-                 "longest_step_ms": round(self.runner.budget.longest / 1e3, 3)} for t in self.runner.tasks]
+                 "longest_step_ms": round(self.runner.budget.longest / 1e3, 3),
+                 "turn_p99_ms": self.turn_p99() / 1e3} for t in self.runner.tasks]
 
     def calls(self, management) -> None:
         """Add the operators' calls to their address."""
@@ -333,6 +383,10 @@
         management.add("/fleet/give-back", "POST", self._give_back_call)
         management.add("/fleet/turn", "POST", lambda r: self._turn_call(r, True))
         management.add("/fleet/turn/over", "POST", lambda r: self._turn_call(r, False))
+        if self.zones is not None:
+            management.add("/zone/status", "GET", shown(self.zones.show))
+            management.add("/zone/wish", "POST", lambda r: self._wish_call(r, False))
+            management.add("/zone/dry-run", "POST", lambda r: self._wish_call(r, True))
 
     def _give_back_call(self, request) -> tuple[int, bytes]:
         lease = request.body.decode("utf-8", "replace").strip()
@@ -342,6 +396,26 @@
             return 409, b"not held here\n"
         return 200, f"{lease} given back\n".encode()
 
+    def _wish_call(self, request, dry: bool) -> tuple[int, bytes]:
+        """An operator's wish for a zone: JSON with zone, what, span_s and why."""
+        try:
+            told = msgspec.json.decode(request.body, type=Wish)
+        except msgspec.MsgspecError as err:
+            return 400, f"{err}\n".encode()
+        if told.zone not in self.zones.names:
+            return 404, b"no such zone\n"
+        wish = (told.zone, told.what, round(told.span_s * 1e6), told.why)
+        if dry:
+            steps = self.zones.dry_run(*wish)
+            if steps is None:
+                who = self.zones.planner_name
+                return 409, f"ask the planner, {who}\n".encode() if who else b"there is no planner\n"
+            return 200, "\n".join(steps).encode() + b"\n"
+        planner = self.zones.wish(*wish)
+        self.log.info("zone_wish", zone=told.zone, what=told.what, span_s=told.span_s, why=told.why,
+                      planner=planner)
+        return (200, f"passed on to {planner}\n".encode()) if planner else (409, b"there is no planner\n")
+
     def _turn_call(self, request, ask: bool) -> tuple[int, bytes]:
         group = request.body.decode("utf-8", "replace").strip()
         if not any(s.place.group == group and s.place.wanted for s in self.keeper.seats.values()):
--- a/cypressledge/fleet/settings.py
+++ b/cypressledge/fleet/settings.py
@@ -52,7 +52,7 @@
     """A task under a lease. `longest_s`: an act is not begun with less of the lease left. `at`: where a call
     goes to; `steps` and `step_s`: how many calls an act makes, and the time between them."""
 
-    kind: Literal["summary", "call"]
+    kind: Literal["summary", "call", "zones"]
     lease: Name
     every_s: Seconds = 2.0
     longest_s: Seconds = 1.0
@@ -62,6 +62,25 @@
     step_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
 
 
+class ZonePace(Strict, frozen=True):
+    """How zones are left and returned to; seconds, and parts of one. What engines bear is the site's."""
+
+    confirm_s: Seconds = 0.4
+    hold_s: Seconds = 5.0
+    hold_most_s: Seconds = 300.0
+    margin: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.8
+    bear: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.9
+
+
+class Wish(Strict, frozen=True):
+    """What an operator wants of a zone, and for how long."""
+
+    zone: str
+    what: Literal["leave", "hold", "return"]
+    span_s: Annotated[float, msgspec.Meta(gt=0, le=86_400)] = 600.0
+    why: Annotated[str, msgspec.Meta(min_length=1, max_length=120)] = "no reason given"
+
+
 class Lab(Strict, frozen=True):
     """For the laboratory alone: clocks of another rate and offset, and a file of what was held when."""
 
@@ -85,6 +104,7 @@
     ping_s: Seconds = 0.5
     task_share: Annotated[float, msgspec.Meta(gt=0, le=0.2)] = 0.02
     listen: str = ""
+    zone_pace: ZonePace = ZonePace()
     lab: Lab = Lab()
 
     @property
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,255 @@
+"""Zones without sockets: evidence, judgement, the plan's machines, who follows what."""
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cypressledge.contract import Outcome
+from cypressledge.fleet.evidence import Evidence
+from cypressledge.fleet.judge import Finding, Told, Verdict, judge
+from cypressledge.fleet.messages import EngineSeen, Plan, Sight, ZoneStands
+from cypressledge.fleet.zoneplan import FULL, Follower, Load, Pace, Planner, Stage, is_open, ramp
+
+S = 1_000_000
+ZONES = ("a", "b", "c")
+ENGINES = {10 * i + n: z for i, z in enumerate(ZONES) for n in range(4)}
+OF = {z: [e for e, of in ENGINES.items() if of == z] for z in ZONES}
+PACE = Pace()
+IDLE = {z: Load(4.0, 32.0) for z in ZONES}
+
+
+def sight(bad=(), good=(), late=()):
+    return Sight([EngineSeen(e, 0, 0, 0, 0, 3) for e in bad] + [EngineSeen(e, 3, 0, 0, 0, 0) for e in good]
+                 + [EngineSeen(e, 0, 3, 0, 0, 0) for e in late])
+
+
+def told(*sights, age=0):
+    return [Told(f"n{i}", ZONES[i % 3], age, s) for i, s in enumerate(sights)]
+
+
+def verdicts(*args, **more):
+    return {z: f.verdict for z, f in judge(*args, **more).zones.items()}
+
+
+def test_evidence_counts_each_quiet_attempt_once_and_forgets_in_time():
+    e = Evidence()
+    for now in range(0, 2 * S, S // 4):
+        e.out(now, [("x", 1, now, 100_000), ("y", 2, 10_000, 100_000)])
+    assert e.sight(2 * S - 1).engines == [EngineSeen(1, 0, 0, 0, 0, 1)]
+    e.ended(2 * S, 1, "x", Outcome.CANCELLED, 2 * S, 100_000)
+    e.ended(2 * S, 2, "y", Outcome.OK, 100_000, 100_000, 70_000)
+    e.ended(2 * S, 2, "z", Outcome.OK, 3 * S, 100_000)
+    e.ended(2 * S, 3, "w", Outcome.CONNECT_FAILED, 1, 1)
+    e.ended(2 * S, 3, "v", Outcome.FULL, 1, 1)
+    seen = {s.engine: s for s in e.sight(2 * S).engines}
+    assert seen[2] == EngineSeen(2, 1, 1, 0, 0, 0, 70_000) and seen[3] == EngineSeen(3, 0, 0, 1, 0, 0)
+    assert e.sight(9 * S).engines == []
+
+
+def test_a_lost_zone_is_told_from_a_slow_one_and_one_failing_in_part():
+    rest = OF["b"] + OF["c"]
+    assert verdicts(told(*[sight(OF["a"], rest)] * 3), ENGINES) == {
+        "a": Verdict.LOST, "b": Verdict.FINE, "c": Verdict.FINE}
+    assert verdicts(told(*[sight((), rest, OF["a"])] * 3), ENGINES)["a"] is Verdict.SLOW
+    assert verdicts(told(*[sight(OF["a"][:2], rest + OF["a"][2:])] * 3), ENGINES)["a"] is Verdict.PART
+    assert verdicts(told(*[sight(OF["a"][:1], rest + OF["a"][1:])] * 3), ENGINES)["a"] is Verdict.FINE
+
+
+def test_a_cut_path_is_not_a_lost_zone():
+    # Brokers in zone b alone can't reach zone a.
+    views = told(sight((), OF["a"]), sight(OF["a"], OF["b"]), sight((), OF["a"] + OF["c"]),
+                 sight((), OF["a"]), sight(OF["a"], OF["b"]), sight((), OF["a"]))
+    found = judge(views, ENGINES).zones["a"]
+    assert found.verdict is Verdict.CUT and "brokers in b alone" in found.why
+
+
+def test_a_broker_that_fails_everywhere_is_not_listened_to():
+    views = told(sight(list(ENGINES)), *[sight((), list(ENGINES))] * 3)
+    found = judge(views, ENGINES)
+    assert set(found.blind) == {"n0"}
+    assert all(f.verdict is Verdict.FINE for f in found.zones.values())
+
+
+def test_a_release_is_none_of_the_zones_fault():
+    views = told(*[sight(OF["a"], OF["b"])] * 3)
+    assert verdicts(views, ENGINES, changing=frozenset(OF["a"]))["a"] is Verdict.RELEASE
+
+
+def test_few_and_old_reports_say_nothing():
+    assert set(verdicts([], ENGINES).values()) == {Verdict.FEW}
+    assert verdicts(told(sight(OF["a"]), age=4 * S), ENGINES)["a"] is Verdict.FEW
+    assert verdicts(told(Sight([EngineSeen(0, 0, 0, 0, 0, 1)])), ENGINES)["a"] is Verdict.FEW
+
+
+class Play:
+    """A planner, its clock, and what it said."""
+
+    def __init__(self, zones=ZONES, pace=PACE, loads=None):
+        self.now, self.said = 100 * S, []
+        self.loads = loads or IDLE
+        self.planner = Planner(list(zones), pace, self.now, lambda *told: self.said.append(told[:2]))
+
+    def run(self, span, **findings):
+        for _ in range(0, span, 100_000):
+            self.now += 100_000
+            self.planner.step(self.now, {z: Finding(findings.get(z, Verdict.FINE), 1.0, "as drawn")
+                                         for z in self.planner.zones}, self.loads)
+        return self
+
+    def stage(self, zone="a"):
+        return self.planner.zones[zone].stage
+
+    def share(self, zone="a"):
+        return self.planner.zones[zone].share
+
+
+def test_a_lost_zone_is_left_within_the_second_and_returned_to_at_its_pace():
+    play = Play().run(600_000, a=Verdict.LOST)
+    assert play.stage() is Stage.LEAVING and play.share() == 0
+    play.run(3 * S, a=Verdict.LOST)
+    assert play.stage() is Stage.OUT
+    play.run(4 * S, a=Verdict.FEW)
+    assert play.stage() is Stage.RETURNING
+    began, shares = play.planner.zones["a"].since, []
+    while play.stage() is Stage.RETURNING:
+        play.run(100_000)
+        shares.append((play.now - began, play.share()))
+        can = PACE.start + (1 - PACE.start) * (play.now - began) / PACE.warm
+        assert play.share() / FULL <= max(can, 1.0) * 1.0 and (
+            play.now - began >= 1.25 * PACE.warm or play.share() / FULL <= PACE.margin * can + 1e-9)
+    assert shares[0][1] > 0 and shares[-1][1] == FULL
+    assert shares[-1][0] <= 1.5 * PACE.warm
+    assert all(b - a <= FULL / 16 + 1 for (_, a), (_, b) in itertools.pairwise(shares))
+    assert [e for e, z in play.said] == ["zone_suspect", "zone_leaving", "zone_out", "zone_returning",
+                                         "zone_serving"]
+
+
+def test_a_hiccup_is_not_a_loss():
+    play = Play().run(300_000, a=Verdict.LOST).run(S)
+    assert play.stage() is Stage.SERVING and play.share() == FULL
+
+
+@pytest.mark.parametrize("verdict", [Verdict.CUT, Verdict.PART, Verdict.RELEASE, Verdict.FEW])
+def test_what_is_not_the_zones_fault_moves_nothing(verdict):
+    assert Play().run(20 * S, a=verdict).stage() is Stage.SERVING
+
+
+def test_a_zone_that_falls_again_stays_out_twice_as_long_each_time():
+    play, outs = Play(), []
+    for _ in range(5):
+        play.run(S, a=Verdict.LOST)
+        began = play.now
+        while play.stage() is not Stage.RETURNING:
+            play.run(100_000, a=Verdict.LOST)
+        outs.append(play.now - began)
+        play.run(3 * S)
+        assert play.share() > 0
+    assert all(b > 1.4 * a for a, b in itertools.pairwise(outs)), outs
+
+
+def test_strain_halts_a_return_and_it_does_not_jump_after():
+    play = Play().run(S, a=Verdict.LOST).run(8 * S, a=Verdict.FEW)
+    while play.share() < 400:
+        play.run(100_000)
+    halted = play.share()
+    play.run(10 * S, a=Verdict.PART)
+    assert play.share() == halted and play.stage() is Stage.RETURNING
+    play.run(500_000)
+    assert play.share() <= halted + FULL / 16 + 1
+
+
+def test_the_last_zone_is_kept():
+    play = Play().run(S, a=Verdict.LOST).run(2 * S, a=Verdict.LOST, b=Verdict.LOST)
+    assert [play.share(z) for z in ZONES] == [0, 0, FULL]
+    play.run(5 * S, a=Verdict.LOST, b=Verdict.LOST, c=Verdict.LOST)
+    assert play.share("c") == FULL and ("zone_kept", "c") in play.said
+    both = Play(zones=("a", "b")).run(3 * S, a=Verdict.LOST, b=Verdict.LOST)
+    assert [both.share(z) for z in "ab"] == [FULL, FULL]
+
+
+def test_a_wrong_leave_by_hand_is_done_in_part_when_the_others_cannot_bear_it():
+    heavy = {"a": Load(20.0, 32.0), "b": Load(22.0, 32.0), "c": Load(24.0, 32.0)}
+    play = Play(loads=heavy)
+    play.planner.leave("a", play.now, play.now + 30 * S, "by hand: a mistake")
+    play.run(S)
+    moved = (1 - play.share() / FULL) * 20
+    spare = 2 * 0.9 * 32 - 22 - 24
+    assert 0 < play.share() < FULL and moved <= spare
+    full = Play(loads={z: Load(30.0, 32.0) for z in ZONES})
+    full.planner.leave("a", full.now, full.now + 30 * S, "by hand: a mistake")
+    full.run(S)
+    assert full.share() == FULL and ("zone_kept", "a") in full.said
+
+
+def test_what_is_done_by_hand_ends_by_itself():
+    play = Play()
+    play.planner.leave("a", play.now, play.now + 20 * S, "practice")
+    play.run(19 * S)
+    assert play.stage() is Stage.OUT and play.share() == 0
+    play.run(2 * S)
+    assert play.stage() is Stage.RETURNING
+    held = Play()
+    held.planner.hold("a", held.now, held.now + 10 * S, "leave it to me")
+    held.run(9 * S, a=Verdict.LOST)
+    assert held.share() == FULL
+    held.run(3 * S, a=Verdict.LOST)
+    assert held.share() == 0
+
+
+def test_a_successor_goes_on_without_a_jump():
+    play = Play().run(S, a=Verdict.LOST).run(8 * S, a=Verdict.FEW)
+    while play.share() < 500:
+        play.run(100_000)
+    plan = play.planner.plan(7, 1, play.now)
+    heir = Play()
+    heir.now = play.now + 700 * S  # its clock has nothing to do with the other's
+    heir.planner.resume(plan, heir.now)
+    assert heir.stage() is Stage.RETURNING and heir.share() == play.share()
+    assert heir.planner.plan(8, 2, heir.now).zones == plan.zones and heir.planner.number == plan.number
+    heir.run(500_000)
+    assert play.share() <= heir.share() <= play.share() + FULL / 16 + 1
+
+
+def stands(share, name="a"):
+    return ZoneStands(name, "out", share, 0, 0, "", 0, "")
+
+
+def test_an_older_plan_is_turned_down():
+    f = Follower("n1")
+    assert f.take(Plan(5, 1, 3, [stands(0)]), 0) and f.share("a") == 0 and f.share("b") == FULL
+    assert not f.take(Plan(4, 9, 9, [stands(FULL)]), 1) and not f.take(Plan(5, 1, 2, [stands(FULL)]), 1)
+    assert not f.take(Plan(5, 2, 9, [stands(FULL)]), 1)
+    assert f.take(Plan(6, 2, 1, [stands(500)]), 1) and f.share("a") == 500 and f.turned_down == 3
+
+
+def test_alone_a_broker_leaves_on_strong_evidence_and_does_not_return():
+    f = Follower("n1")
+    lost = {"a": Finding(Verdict.LOST, 1.0, ""), "b": Finding(Verdict.FINE, 0.0, "")}
+    all_lost = {z: Finding(Verdict.LOST, 1.0, "") for z in "ab"}
+    assert not f.see(S, lost) and f.share("a") == FULL  # a planner was heard just now
+    assert not f.see(4 * S, all_lost) and f.share("a") == FULL  # cut off from everything: it keeps serving
+    assert f.see(4 * S, lost) and f.share("a") == 0
+    f.see(5 * S, {z: Finding(Verdict.FINE, 0.0, "") for z in "ab"})
+    assert f.share("a") == 0
+    f.take(Plan(1, 1, 1, [stands(FULL)]), 6 * S)
+    assert f.share("a") == FULL
+
+
+@given(st.integers(1, FULL - 1))
+def test_the_fleets_sum_follows_the_share_and_grows_only(share):
+    brokers = [f"n{i}" for i in range(200)]
+    for engine in (3, 77):
+        opened = {b for b in brokers if is_open(engine, b, share)}
+        assert abs(len(opened) / 200 - share / FULL) < 0.13
+        assert opened <= {b for b in brokers if is_open(engine, b, share + 1)}
+        assert not any(is_open(engine, b, 0) for b in brokers)
+        assert all(is_open(engine, b, FULL) for b in brokers)
+
+
+def test_the_ramp_keeps_under_what_cold_engines_can_do():
+    for age in range(0, round(1.25 * PACE.warm), 100_000):
+        can = min(1.0, PACE.start + (1 - PACE.start) * age / PACE.warm)
+        assert 0 < ramp(age, PACE) / FULL <= PACE.margin * can
+    assert ramp(round(1.25 * PACE.warm), PACE) == FULL
