--- a/cypressledge/fleet/evidence.py
+++ b/cypressledge/fleet/evidence.py
@@ -61,8 +61,9 @@
         return self.windows[-1][1].setdefault(engine, Tally())
 
     def ended(self, now: int, engine: int, attempt: object, outcome: Outcome, latency: int,
-              expected: int, work: int = 0) -> None:
-        """An attempt has ended. What was called off, was full or never left says nothing of the engine."""
+              expected: int, work: int = 0, quiet: bool = False) -> None:
+        """An attempt has ended. What was full or never left says nothing of the engine; nor does what was
+        called off, unless it had been `quiet` for longer than it should have taken."""
         if attempt in self.counted:
             self.counted.discard(attempt)
             if outcome is not Outcome.OK:
@@ -78,7 +79,7 @@
             self._tally(now, engine).refused += 1
         elif outcome in BROKEN:
             self._tally(now, engine).broken += 1
-        elif outcome in SILENT:
+        elif outcome in SILENT or (outcome is Outcome.CANCELLED and quiet and latency > QUIET * expected):
             self._tally(now, engine).silent += 1
 
     def out(self, now: int, open_: list[tuple[object, int, int, int]]) -> None:
--- a/cypressledge/fleet/keeper.py
+++ b/cypressledge/fleet/keeper.py
@@ -60,6 +60,7 @@
     due: int = 0
     began: int = 0
     hurry: int = 0
+    split: int = 0  # tries in a row that split the vote
     seen: dict[str, Seen] = field(default_factory=dict)
     holder: str = ""  # as last told
 
@@ -234,7 +235,7 @@
         if seat.phase not in (Phase.ASKING, Phase.HELD) or not seat.claim.granted(now, sender, item):
             return
         if seat.phase is Phase.ASKING and seat.claim.holds(now):
-            seat.phase, seat.hurry, seat.holder = Phase.HELD, 0, self.name
+            seat.phase, seat.hurry, seat.split, seat.holder = Phase.HELD, 0, 0, self.name
             seat.due = seat.began + seat.place.term // 3
             self.told("acquired", seat.place.lease, seat.claim.token, "a majority voted")
 
@@ -352,8 +353,9 @@
             pause = 10 * MS + self._jitter(30 * MS)
         elif why in ("mute", "version", "full"):
             pause = min(max(r.left for r in refusals) or seat.place.term // 2, seat.place.term)
-        elif why == "held":
-            pause = min(min(r.left for r in refusals if r.why == "held"), seat.place.term // 2) // 2
+        elif why == "held":  # it was free when it was looked at: a split vote; look again, soon and not alike
+            seat.split = min(seat.split + 1, 4)
+            pause = 10 * MS + self._jitter(40 * MS << seat.split)
         else:
             pause = seat.place.term // 6
         self._rest(now, seat, pause + self._jitter(50 * MS))
--- a/cypressledge/fleet/zoneplan.py
+++ b/cypressledge/fleet/zoneplan.py
@@ -45,6 +45,7 @@
     warm: int = 14 * S
     margin: float = 0.8
     bear: float = 0.9
+    idle: float = 0.3  # of its cores that a zone may be doing for its lateness not to be its load's
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +138,7 @@
         """Let time and findings work; whether the plan has changed."""
         before = self._key()
         for zone in self.zones.values():
-            self._note(zone, findings.get(zone.name), now)
+            self._note(zone, findings, now, loads)
         for zone in self.zones.values():
             if zone.by_hand and now >= zone.hand_until:
                 self.told("zone_hand_over", zone.name, f"the time for {zone.by_hand} has passed")
@@ -151,10 +152,16 @@
     def _key(self) -> tuple:
         return tuple((z.stage, z.share, z.by_hand) for z in self.zones.values())
 
-    @staticmethod
-    def _note(zone: Zone, finding: Finding | None, now: int) -> None:
+    def _idle(self, zone: Zone, findings: dict[str, Finding], loads: dict[str, Load]) -> bool:
+        """Whether a zone is slow for another reason than its work: it does little, and another is fine."""
+        load = loads.get(zone.name, Load(0.0, 0.0))
+        others = any(f.verdict is Verdict.FINE for z, f in findings.items() if z != zone.name)
+        return others and load.used < self.pace.idle * load.cores
+
+    def _note(self, zone: Zone, findings: dict[str, Finding], now: int, loads: dict[str, Load]) -> None:
+        finding = findings.get(zone.name)
         verdict = finding.verdict if finding else Verdict.FEW
-        if verdict in (Verdict.LOST, Verdict.SLOW):
+        if verdict is Verdict.LOST or (verdict is Verdict.SLOW and self._idle(zone, findings, loads)):
             zone.bad_since = now if zone.bad_since is None else zone.bad_since
             zone.fine_since = None
         elif verdict is not Verdict.FEW:
--- a/cypressledge/fleet/zones.py
+++ b/cypressledge/fleet/zones.py
@@ -48,10 +48,10 @@
 
     def ended(self, attempt: Attempt, outcome: c.Outcome, latency: int) -> None:
         """An attempt has ended."""
-        self.noted.pop(attempt, None)
+        quiet = self.noted.pop(attempt, None) is None
         query = attempt.request.query
         self.evidence.ended(self.now(), attempt.place.id, attempt, outcome, latency, self._expected(query),
-                            query.cost)
+                            query.cost, quiet)
 
     def heard(self, attempt: Attempt) -> None:
         """An engine has said something of an attempt."""
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -131,6 +131,21 @@
     assert play.stage() is Stage.SERVING and play.share() == FULL
 
 
+def test_a_busy_zone_that_is_late_is_not_left_and_one_that_is_slow_for_no_work_is():
+    busy = {z: Load(20.0, 32.0) for z in ZONES}
+    assert Play(loads=busy).run(5 * S, a=Verdict.SLOW).stage() is Stage.SERVING
+    assert Play().run(5 * S, **dict.fromkeys(ZONES, Verdict.SLOW)).stage() is Stage.SERVING
+    assert Play().run(S, a=Verdict.SLOW).stage() is Stage.LEAVING
+
+
+def test_what_is_called_off_after_a_silence_counts_as_silent():
+    e = Evidence()
+    e.ended(0, 1, "x", Outcome.CANCELLED, 350_000, 100_000, quiet=True)
+    e.ended(0, 1, "y", Outcome.CANCELLED, 350_000, 100_000, quiet=False)
+    e.ended(0, 1, "z", Outcome.CANCELLED, 250_000, 100_000, quiet=True)
+    assert e.sight(0).engines == [EngineSeen(1, 0, 0, 0, 0, 1)]
+
+
 @pytest.mark.parametrize("verdict", [Verdict.CUT, Verdict.PART, Verdict.RELEASE, Verdict.FEW])
 def test_what_is_not_the_zones_fault_moves_nothing(verdict):
     assert Play().run(20 * S, a=verdict).stage() is Stage.SERVING
