A keyed repeat waits within its window only; it was sent whenever a place came free

Shown by a probe: one full engine, window 0.8 s: the repeat still waited 3.95 s after its first send, to go out with the next place.

Change: what is queued again is given up, and answered at once, 0.6 s before its window ends. Test: 30 requests at one engine; fails on the old module.

--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -325,9 +325,8 @@
     def _give_up(self, r: Request) -> None:
         """End the request unserved: refused where that is harmless, failed elsewhere."""
         spec = r.spec
-        harmless = spec.effect is Effect.FREE or (
-            r.maybe_at is None and r.engine is None) or (
-            spec.effect is Effect.KEYED and spec.group is Group.ALL and r.engine is None)
+        harmless = spec.effect is Effect.FREE or r.engine is None and (
+            r.maybe_at is None or spec.effect is Effect.KEYED and spec.group is Group.ALL)
         self._do(Refuse(r.id) if harmless else Fail(r.id))
         self._over(r)
 
@@ -355,6 +354,8 @@
             self._over(r)
         elif self._may_retry(r):
             r.avoid = e
+            if r.spec.effect is Effect.KEYED and r.maybe_at is not None:  # it waits within its window only
+                heappush(self.dues, (r.maybe_at + r.spec.window - 20 * DUE_MARGIN, r.id))
             self._enqueue(r)
         else:
             self._give_up(r)
@@ -447,7 +448,6 @@
     def _may_retry(self, r: Request) -> bool:
         if r.attempts >= self.s.max_attempts or self.now + r.run > r.due - DUE_MARGIN or not self._budget():
             return False
-        # A repeat has to leave within the window, and a send may wait half a second for its connection.
         return r.maybe_at is None or r.spec.effect is Effect.FREE or (
             r.spec.effect is Effect.KEYED and self.now < r.maybe_at + r.spec.window - 20 * DUE_MARGIN)
 
@@ -502,7 +502,7 @@
             return
         while self.dues and self.dues[0][0] <= self.now:
             r = self.requests.get(heappop(self.dues)[1])
-            if r and not r.over:
+            if r and not r.over and (r.waiting or self.now >= r.due - DUE_MARGIN):
                 self._give_up(r)
         while self.rests and self.rests[0][0] <= self.now:
             r = self.requests.get(heappop(self.rests)[1])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -130,6 +130,20 @@
         assert len(of(Send, got)) == again
 
 
+def test_keyed_does_not_wait_for_a_place_beyond_its_window():
+    """A repeat that found no place was sent as soon as one came free, window or not."""
+    f = Fleet(settings(dataclasses.replace(keyed(Group.ALL), aim=15 * S, window=S)), engines=1)
+    for request in range(30):
+        f.arrive(request)
+    first = f.sends[0].request
+    assert not finals(f.end(first, Outcome.RESET, after=S // 10))  # the next in the queue takes its place
+    assert Refuse(first) in f.run(S)
+    for n in range(1, 30):  # places come free
+        if n < len(f.sends):
+            f.end(f.sends[n].request, after=S // 20)
+    assert [s.request for s in f.sends].count(first) == 1 and len(f.sends) == 30
+
+
 def test_never_two_attempts_out():
     """A cancelled attempt is out until its outcome comes."""
     f = Fleet(settings(dataclasses.replace(LOOKUP, aim=4 * S)))
