--- a/cypressledge/fleet/part.py
+++ b/cypressledge/fleet/part.py
@@ -66,7 +66,8 @@
         self.keeper = Keeper(name, self.run_id, self._places(told), self.electorate, told.drift_ppm, now,
                              wall, self.run_id, self.exchange.out, self._lease_told)
         self.summaries = Summaries(name, self._figures, lambda: sorted(self.members.alive() - {name}),
-                                   self.exchange.out, self.clock.now)
+                                   lambda: [p.name for p in self.told.peers], self.exchange.out,
+                                   self.clock.now)
         self.zones = self._zones(told, zones)
         self.runner = Runner([self._task(t) for t in told.tasks], self._grant, self.clock.now,
                              Budget(told.task_share), self._event)
--- a/cypressledge/fleet/tasks.py
+++ b/cypressledge/fleet/tasks.py
@@ -23,8 +23,10 @@
     """The fleet's figures: gathered by the lease's holder, told to all, served by each."""
 
     def __init__(self, name: str, own: Callable[[int], Figures], peers: Callable[[], list[str]],
-                 out: Callable[[str, object], None], now: Callable[[], int]) -> None:
+                 everyone: Callable[[], list[str]], out: Callable[[str, object], None],
+                 now: Callable[[], int]) -> None:
         self.name, self.own, self.peers, self.out, self.now = name, own, peers, out, now
+        self.everyone = everyone  # all that the file names, alive or not
         self.merge: Merge | None = None
         self.fences: dict[str, Fence] = {}
         self.last: Summary | None = None
@@ -41,7 +43,7 @@
                 self.out(peer, FiguresWanted(grant.lease, grant.token, grant.run))
             yield None
         yield GATHER_S
-        summary = merge.summary([*peers, self.name])
+        summary = merge.summary(self.everyone())
         yield None
         for at in range(0, len(peers), BATCH):
             for peer in peers[at:at + BATCH]:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -144,6 +144,8 @@
     assert until(lambda: ask(fleet[other], "/fleet/summary")["brokers"] == 3, WAIT)
     fleet[first.holder].kill()
     assert until(lambda: ask(fleet[other], "/fleet/summary")["missing"] == [first.holder], WAIT)
+    gevent.sleep(2 * TERM)  # long after it is given up it is missing still
+    assert ask(fleet[other], "/fleet/summary")["missing"] == [first.holder]
 
 
 def test_a_holder_that_hears_no_voter_stops_though_it_reaches_the_resource(fleet):
