Review: one --at option, one reader of answers, one zone-of-entry; dead branches out

No change of behaviour, but for a bad --at being reported by click as a bad value. Core.retell holds the check that its callers repeated; Keeper.stop (nobody called it), an always-true elif and two __all__ are gone. Run: operations, style, zones and fleet parts, and four of the process tests (the demo, give-back, turns, run without any of it).

--- a/cypressledge/cli.py
+++ b/cypressledge/cli.py
@@ -22,16 +22,29 @@
     """A query broker: the operators' and the laboratory's commands."""
 
 
+class BrokerAddress(click.ParamType):
+    """HOST:PORT, checked as the configuration's are."""
+
+    name = "HOST:PORT"
+
+    def convert(self, value, param, ctx) -> tuple[str, int]:
+        """The address as a pair."""
+        try:
+            return address(value)
+        except ConfigError as err:
+            self.fail(str(err), param, ctx)
+
+
+at_broker = click.option("--at", type=BrokerAddress(), envvar="ROUTER_MANAGEMENT", required=True,
+                         help="A broker's management address.")
+
+
 @cli.group()
-@click.option("--at", envvar="ROUTER_MANAGEMENT", required=True, metavar="HOST:PORT",
-              help="A broker's management address.")
+@at_broker
 @click.pass_context
-def fleet(ctx: click.Context, at: str) -> None:
+def fleet(ctx: click.Context, at: tuple[str, int]) -> None:
     """What brokers do together, as one of them sees it."""
-    try:
-        ctx.obj = address(at)
-    except ConfigError as err:
-        raise click.UsageError(f"--at: {err}") from None
+    ctx.obj = at
 
 
 def call(at: tuple[str, int], method: str, path: str, body: str = "") -> str:
@@ -141,15 +154,11 @@
 
 
 @cli.group()
-@click.option("--at", envvar="ROUTER_MANAGEMENT", required=True, metavar="HOST:PORT",
-              help="A broker's management address.")
+@at_broker
 @click.pass_context
-def zone(ctx: click.Context, at: str) -> None:
+def zone(ctx: click.Context, at: tuple[str, int]) -> None:
     """Zones: how they stand, and leaving and returning by hand."""
-    try:
-        ctx.obj = address(at)
-    except ConfigError as err:
-        raise click.UsageError(f"--at: {err}") from None
+    ctx.obj = at
 
 
 @zone.command()
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -248,12 +248,12 @@
     def held_out(self, maintenance: Maintenance) -> None:
         """Engines out by hand have changed: the module sees the lists anew, at once."""
         self.maintenance = maintenance
-        if self.lists:
-            self._tell()
+        self.retell()
 
     def retell(self) -> None:
         """What is closed has changed: the module sees the lists anew, at once."""
-        self._tell()
+        if self.lists:
+            self._tell()
 
     def _entry(self, place: Place, entry: c.Entry) -> c.Entry:
         """How the module is to see an engine that a list names."""
--- a/cypressledge/fleet/keeper.py
+++ b/cypressledge/fleet/keeper.py
@@ -163,12 +163,6 @@
         self.told("given_back", lease, token, why)
         return True
 
-    def stop(self, now: int) -> None:
-        """This broker stops: everything goes back, nothing is asked for again."""
-        self.stopping = True
-        for lease in self.seats:
-            self.give_back(lease, now, "stopping")
-
     def refused_by_resource(self, lease: str, token: int, now: int) -> None:
         """What was acted on knows of a higher token: give back, and ask under one above it."""
         seat = self.seats.get(lease)
@@ -306,7 +300,7 @@
         seat.holder = max(sorted(set(holders)), key=holders.count) if len(holders) >= majority else ""
         if waits[majority - 1] <= 0:
             self._begin_at(now, seat)
-        elif len(waits) == len(self.electorate.voters) or len(waits) >= majority:
+        else:
             behind = (self.rank(seat.place.lease) or 0) * self._stagger(seat)
             wait = min(waits[majority - 1] + behind, seat.place.term) + MS
             # A far end is looked at a little early, together with others; the last look times the asking.
@@ -377,6 +371,3 @@
 
     def _jitter(self, most: int) -> int:
         return self.random.randrange(most)
-
-
-__all__ = ["LINE", "Granted", "Keeper", "Phase", "Place", "Seat", "places"]
--- a/cypressledge/fleet/zones.py
+++ b/cypressledge/fleet/zones.py
@@ -79,11 +79,11 @@
         """Whether the plan closes an engine to this broker."""
         if self.waiting or not self.names:
             return False
-        return not self.follower.opened(entry.engine, self.names[min(entry.zone, len(self.names) - 1)])
+        return not self.follower.opened(entry.engine, self._zone_of(entry))
 
-    def _apply(self) -> None:
-        if self.core.lists:
-            self.core.retell()
+    def _zone_of(self, entry: c.Entry) -> str:
+        """An engine's zone by name."""
+        return self.names[min(entry.zone, len(self.names) - 1)]
 
     # What peers tell
 
@@ -108,9 +108,9 @@
             if self._shares() != before:
                 self.told("plan_taken", token=plan.token, number=plan.number, planner=sender,
                           shares=self._shares())
-                self._apply()
+                self.core.retell()
             elif alone:
-                self._apply()
+                self.core.retell()
 
     def _shares(self) -> dict[str, int]:
         return {z: self.follower.share(z) for z in self.names}
@@ -136,7 +136,7 @@
         if self.follower.see(now, own.zones):
             self.told("zones_left_alone", zones=sorted(self.follower.alone),
                       why="; ".join(own.zones[z].why for z in sorted(self.follower.alone)))
-            self._apply()
+            self.core.retell()
         return self.due
 
     def _wait_for_plan(self, now: int) -> None:
@@ -182,7 +182,7 @@
         for held in self.core.lists.values():
             for entry, _ in held:
                 if self.names:
-                    engines[entry.engine] = self.names[min(entry.zone, len(self.names) - 1)]
+                    engines[entry.engine] = self._zone_of(entry)
                 if entry.state is not c.State.READY or clock - entry.born < CHANGING:
                     changing.add(entry.engine)
         return judge(told, engines, frozenset(changing))
@@ -194,7 +194,7 @@
         zone_of = {}
         for held in self.core.lists.values():
             for entry, _ in held:
-                zone = zone_of[entry.engine] = self.names[min(entry.zone, len(self.names) - 1)]
+                zone = zone_of[entry.engine] = self._zone_of(entry)
                 if entry.state is c.State.READY:
                     kinds = self.core.settings.kind_cores
                     cores[zone] += kinds[min(entry.kind, len(kinds) - 1)]
--- a/cypressledge/lab/load.py
+++ b/cypressledge/lab/load.py
@@ -13,6 +13,18 @@
 WAIT_MS = 3_000
 
 
+def answer(file) -> dict:
+    """The next JSON-RPC answer on a connection. Raises `OSError` where there is none."""
+    size = 0
+    while line := file.readline().strip():
+        key, _, value = line.partition(b":")
+        if key.lower() == b"content-length":
+            size = int(value)
+    if not size:
+        raise OSError("the broker hung up")
+    return json.loads(file.read(size))
+
+
 class Client:
     """Asks one broker after another, as a front layer spreads clients; one that is down is passed over."""
 
@@ -43,19 +55,8 @@
                 "content": STATEMENT}}).encode()
             sock.sendall(b"Content-Length: %d\r\n\r\n" % len(body) + body)
             asked = time.monotonic()
-            served = "result" in self._answer(file)
+            served = "result" in answer(file)
             self.counts["served" if served else "refused"] += 1
             if served:
                 self.latencies.append(time.monotonic() - asked)
             gevent.sleep(self.pause_s)
-
-    @staticmethod
-    def _answer(file) -> dict:
-        size = 0
-        while (line := file.readline().strip()):
-            key, _, value = line.partition(b":")
-            if key.lower() == b"content-length":
-                size = int(value)
-        if not size:
-            raise OSError("the broker hung up")
-        return json.loads(file.read(size))
--- a/cypressledge/lab/relay.py
+++ b/cypressledge/lab/relay.py
@@ -8,8 +8,6 @@
 
 from cypressledge.lab.site import free_port
 
-__all__ = ["Path", "Relays"]
-
 
 @dataclass(slots=True)
 class Path:
--- a/cypressledge/lab/zones.py
+++ b/cypressledge/lab/zones.py
@@ -20,6 +20,7 @@
 from gevent.server import StreamServer
 
 from cypressledge.lab.demo import ask
+from cypressledge.lab.load import answer
 from cypressledge.lab.processes import Brokers, until
 from cypressledge.lab.relay import udp_ports
 from cypressledge.lab.site import SETTINGS
@@ -184,13 +185,7 @@
             "id": secrets.token_hex(8), "wait": int(left * 1000), "tenant": "sahel", "cost": float(ms),
             "mem": 10, "content": statement}}).encode()
         sock.sendall(b"Content-Length: %d\r\n\r\n" % len(body) + body)
-        size = 0
-        while line := file.readline().strip():
-            key, _, value = line.partition(b":")
-            size = int(value) if key.lower() == b"content-length" else size
-        if not size:
-            raise OSError("the broker hung up")
-        if "result" in json.loads(file.read(size)):
+        if "result" in answer(file):
             late = time.monotonic() - came > AIM_S + STRETCH * ms / 1000
             self.counts["late" if late else "kept"] += 1
 
