Zones as a fleet: rows of failures, regions, shedding, practice; shown on processes and at size

Cause: answers from before the loss stood in the evidence's windows for 2 s and outweighed the failures (judge._verdict), and by then the module's own hold-offs had left too few tries.

New: regions as zones of zones; what is over its tenant's share is refused at the door before any of a zone stays for want of room; practice departures; a zone left in part that is lost is left whole.

Lab commands end what they started when they are ended themselves.

--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -90,7 +90,7 @@
         from cypressledge.fleet.part import FleetPart
 
         config = self.config
-        part = FleetPart(file, config.name, config.classes, config.zones, self.core, self.counters)
+        part = FleetPart(file, config, self.core, self.counters)
         self.parts += part.parts
         if self.management is not None:
             part.calls(self.management)
--- a/cypressledge/cli.py
+++ b/cypressledge/cli.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import signal
 import sys
 import time
 
@@ -172,6 +173,8 @@
         return
     click.echo(f"plan {told['number']} of {told['planner'] or 'nobody'} (token {told['token']}), "
                f"heard {told['heard_s']} s ago")
+    for tenant, part in told["shed"].items():
+        click.echo(f"of {tenant} {part / 10:g}% is refused, over its share; {told['shed_here']} here so far")
     show(told["zones"], False)
 
 
@@ -190,6 +193,7 @@
 
 
 wish("leave", "Leave a zone, as far as the others bear its load.")
+wish("practice", "Leave a zone to see that the others bear it; given up if they can't, or if one fails.")
 wish("return", "Return to a zone, at the pace that its engines bear.")
 wish("hold", "Keep a zone as it is, whatever is found.")
 
@@ -197,6 +201,9 @@
 @cli.group()
 def lab() -> None:
     """The laboratory: what the program does when parts of the system fail."""
+    # Guards against processes left behind: whoever ends the laboratory ends what it started.
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda got, _: sys.exit(128 + got))
 
 
 @lab.command()
@@ -238,8 +245,8 @@
 @lab.command("zones")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--runs", default=1, show_default=True, help="Schedules, each played off and on.")
-@click.option("--kind", default="", type=click.Choice(["", "silent", "reset", "slow", "none"]),
-              help="How the zone fails; drawn where it is not named.")
+@click.option("--kind", default="", help="How the zone fails; drawn where it is not named.",
+              type=click.Choice(["", "silent", "reset", "slow", "cut", "blind", "release", "none"]))
 def lab_zones(seed: int, runs: int, kind: str) -> None:
     """Lose a zone under several brokers, with the fleet's part off and on, and compare."""
     from cypressledge.lab.zones import run
@@ -247,15 +254,34 @@
     sys.exit(run(seed, runs, kind, click.echo))
 
 
+@lab.command("zone-size")
+@click.option("--brokers", default=200, show_default=True, type=click.IntRange(5, 500))
+@click.option("--engines", default=60, show_default=True, type=click.IntRange(4, 300))
+@click.option("--zones", default=0, help="2 to 6; drawn by the seed where it is not named.",
+              type=click.IntRange(0, 6))
+@click.option("--kind", default="", help="Schedules, with commas; all where none is named.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--runs", default=1, show_default=True, help="Seeds of each kind.")
+@click.option("--load", default=0.55, show_default=True, help="Of all engines' cores.")
+@click.option("--workers", default=4, show_default=True, help="Processes to play in.")
+@click.option("--plot", default="", help="Draw the first schedule into this file (needs matplotlib).")
+def zone_size(**how) -> None:
+    """Lose a zone under many brokers' decision modules in virtual time, off and on, and compare."""
+    from cypressledge.lab.zonesize import run
+
+    sys.exit(run(**how, say=click.echo))
+
+
 @lab.command()
 @click.option("--brokers", default=12, show_default=True, type=click.IntRange(5, 60))
 @click.option("--leases", "leases_", default=50, show_default=True)
 @click.option("--seconds", default=15.0, show_default=True)
-def cost(brokers: int, leases_: int, seconds: float) -> None:
+@click.option("--rounds", default=8, show_default=True, help="Off and on in turns, 3 s each, for each load.")
+def cost(brokers: int, leases_: int, seconds: float, rounds: int) -> None:
     """What the fleet's part costs real brokers: memory, processor time, time of a request."""
     from cypressledge.lab.cost import run
 
-    sys.exit(run(brokers, leases_, seconds, click.echo))
+    sys.exit(run(brokers, leases_, seconds, rounds, click.echo))
 
 
 @lab.command()
--- a/cypressledge/config.py
+++ b/cypressledge/config.py
@@ -67,6 +67,7 @@
     kinds: tuple[str, ...]
     zones: tuple[str, ...]
     tenants: frozenset[str]
+    quotas: dict[str, float]  # requests a second of a tenant within its share, over all brokers
     serial: int
     engines: tuple[Listed, ...]
 
@@ -101,7 +102,9 @@
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
         limits=limits, settings=settings_of(s), classes=tuple(k["Name"] for k in s["Classes"]),
         kinds=tuple(s["Skus"]), zones=tuple(s["Dcs"]),
-        tenants=frozenset(t["Name"] for t in s.get("Customers", ())), serial=serial, engines=tuple(engines))
+        tenants=frozenset(t["Name"] for t in s.get("Customers", ())),
+        quotas={t["Name"]: float(t.get("QuotaRps", 0)) for t in s.get("Customers", ())},
+        serial=serial, engines=tuple(engines))
 
 
 def _seconds(text: str | None) -> float:
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -175,9 +175,11 @@
         self.lists: dict[str, list[tuple[c.Entry, Place]]] = {}  # as their sources tell them
         self.last_kind = c.ListKind.CACHED
         self.maintenance = Maintenance()
-        # What the fleet's part adds where it is on: who is told how attempts go, and which engines it closes.
+        # What the fleet's part adds where it is on: who is told how attempts go, which engines it closes, and
+        # which queries it lets in.
         self.observer: Observer | None = None
         self.shut: Callable[[c.Entry], bool] | None = None
+        self.door: Callable[[Query], bool] | None = None
         self.ready: set[int] = set()
         self.requests: dict[int, Request] = {}
         self.names: set[str] = set()
@@ -206,6 +208,11 @@
             self.counters.reply(query.class_name, "overload")
             reply.refused(self.after_most)
             return None
+        if self.door is not None and not self.door(query):
+            self.counters.add("refused.over_share")
+            self.counters.reply(query.class_name, "overload")
+            reply.refused(self.after_most)
+            return None
         request = Request(next(self.numbers), query, reply)
         self.requests[request.number] = request
         self.names.add(query.id)
--- a/cypressledge/fleet/evidence.py
+++ b/cypressledge/fleet/evidence.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from cypressledge.contract import Outcome
-from cypressledge.fleet.messages import EngineSeen, Sight
+from cypressledge.fleet.messages import EngineSeen
 
 WINDOW = 250_000  # µs
 WINDOWS = 8  # that a sight covers: 2 s
@@ -47,12 +47,21 @@
         return self.ok + self.late + self.refused + self.broken + self.silent
 
 
+@dataclass(slots=True)
+class Row:
+    """How things last went at one engine: failures since its last answer, and when that was."""
+
+    fails: int = 0
+    answered: int | None = None
+
+
 @dataclass(slots=True)
 class Evidence:
     """One broker's tallies, by window and engine."""
 
     windows: deque = field(default_factory=lambda: deque(maxlen=WINDOWS))
     counted: set = field(default_factory=set)  # attempts that are out and were found quiet: counted once
+    rows: dict[int, Row] = field(default_factory=dict)
 
     def _tally(self, now: int, engine: int) -> Tally:
         number = now // WINDOW
@@ -71,16 +80,24 @@
         if outcome is Outcome.OK:
             tally = self._tally(now, engine)
             tally.work += work
+            self._row(engine).fails, self._row(engine).answered = 0, now
             if latency > LATE * expected + QUIET_LEAST:
                 tally.late += 1
             else:
                 tally.ok += 1
         elif outcome in REFUSED:
-            self._tally(now, engine).refused += 1
+            self._failed(now, engine).refused += 1
         elif outcome in BROKEN:
-            self._tally(now, engine).broken += 1
+            self._failed(now, engine).broken += 1
         elif outcome in SILENT or (outcome is Outcome.CANCELLED and quiet and latency > QUIET * expected):
-            self._tally(now, engine).silent += 1
+            self._failed(now, engine).silent += 1
+
+    def _row(self, engine: int) -> Row:
+        return self.rows.setdefault(engine, Row())
+
+    def _failed(self, now: int, engine: int) -> Tally:
+        self._row(engine).fails += 1
+        return self._tally(now, engine)
 
     def out(self, now: int, open_: list[tuple[object, int, int, int]]) -> None:
         """Look at the attempts that are out: (attempt, engine, µs without a word, expected µs)."""
@@ -89,9 +106,9 @@
         for attempt, engine, quiet, expected in open_:
             if attempt not in self.counted and quiet > max(QUIET * expected, QUIET_LEAST):
                 self.counted.add(attempt)
-                self._tally(now, engine).silent += 1
+                self._failed(now, engine).silent += 1
 
-    def sight(self, now: int) -> Sight:
+    def sight(self, now: int) -> list[EngineSeen]:
         """What the last windows say, bounded."""
         oldest = now // WINDOW - WINDOWS
         sums: dict[int, Tally] = {}
@@ -100,4 +117,10 @@
                 for engine, tally in engines.items():
                     sums.setdefault(engine, Tally()).add(tally)
         most = sorted(sums.items(), key=lambda e: (-e[1].tries, e[0]))[:ENGINES_MOST]
-        return Sight([EngineSeen(e, t.ok, t.late, t.refused, t.broken, t.silent, t.work) for e, t in most])
+        self.rows = {e: row for e, row in self.rows.items() if e in sums}
+        return [EngineSeen(e, t.ok, t.late, t.refused, t.broken, t.silent, t.work, *self._last(now, e))
+                for e, t in most]
+
+    def _last(self, now: int, engine: int) -> tuple[int, int]:
+        row = self._row(engine)
+        return row.fails, -1 if row.answered is None else (now - row.answered) // 1000
--- a/cypressledge/fleet/exchange.py
+++ b/cypressledge/fleet/exchange.py
@@ -11,6 +11,7 @@
 
 from gevent import socket
 from gevent.event import Event
+from gevent.socket import wait_read
 
 from cypressledge.counters import Counters
 from cypressledge.fleet.messages import ITEMS_MOST, LARGEST, VERSION, Envelope, Unreadable, decode, encode
@@ -21,6 +22,7 @@
 ADDRESSES_MOST = 512
 SMALL = 1_200  # bytes that a datagram is filled up to: under any path's MTU
 ITEMS_EACH = 64
+DRAIN_MOST = 256  # datagrams taken in at once
 
 
 @dataclass(slots=True)
@@ -50,7 +52,7 @@
         self.queues: dict[str, list] = {}
         self.buckets: dict[tuple[str, int], Bucket] = {}
         self.inbox: deque[Envelope] = deque()
-        self.woken = Event()
+        self.woken, self.drained = Event(), Event()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
         self.sock.bind(listen)
@@ -101,10 +103,23 @@
             self.counters.add("fleet.not_sent")
 
     def read(self) -> None:
-        """A greenlet: takes datagrams in for as long as the process runs."""
+        """A greenlet: says when datagrams have come, and again once those have been taken in. The owner takes
+        them in, many at a time: waking up costs a process more than all that a datagram asks for."""
         while True:
+            wait_read(self.sock.fileno())
+            self.drained.clear()
+            self.woken.set()
+            self.drained.wait()
+
+    def drain(self) -> None:
+        """Take in what has come, so many at the most."""
+        self.woken.clear()
+        self.drained.set()
+        for _ in range(DRAIN_MOST):
             try:
-                raw, source = self.sock.recvfrom(LARGEST + 1)
+                raw, source = self.sock._sock.recvfrom(LARGEST + 1)
+            except BlockingIOError:
+                return
             except OSError:
                 self.counters.add("fleet.read_errors")  # an ICMP answer to something sent, most likely
                 continue
@@ -132,4 +147,3 @@
             return
         self.counters.add("fleet.received")
         self.inbox.append(envelope)
-        self.woken.set()
--- a/cypressledge/fleet/messages.py
+++ b/cypressledge/fleet/messages.py
@@ -150,12 +150,17 @@
     broken: int
     silent: int
     work: int = 0  # µs of processor work that was answered
+    fails: int = 0  # in a row, since its last answer
+    answered_ms: int = -1  # ms since its last answer; -1: none is known
 
 
 class Sight(Item, frozen=True, tag="sight"):
-    """What one broker's links saw in the last two seconds."""
+    """What one broker's links saw in the last two seconds; `tenants`: requests that came in those; `alone`:
+    zones that it has left by itself."""
 
     engines: list[EngineSeen]
+    tenants: dict[str, int] = {}
+    alone: list[str] = []
 
 
 class ZoneStands(msgspec.Struct, frozen=True, array_like=True):
@@ -172,16 +177,19 @@
 
 
 class Plan(Item, frozen=True, tag="plan"):
-    """The fleet's plan for its zones, by the holder of `token`."""
+    """The fleet's plan for its zones and regions, by the holder of `token`. `shed`: the part of each tenant's
+    requests that is refused, permille."""
 
     token: int
     run: int
     number: int
     zones: list[ZoneStands]
+    regions: list[ZoneStands] = []
+    shed: dict[str, int] = {}
 
 
 class ZoneWish(Item, frozen=True, tag="zonewish"):
-    """An operator's wish, passed on to the planner. `what`: leave, hold, return; `span` in µs."""
+    """An operator's wish, passed on to the planner. `what`: leave, practice, hold, return; `span` in µs."""
 
     zone: str
     what: str
--- a/cypressledge/fleet/part.py
+++ b/cypressledge/fleet/part.py
@@ -12,7 +12,7 @@
 import gevent
 import msgspec
 
-from cypressledge.config import ConfigError, address
+from cypressledge.config import Config, ConfigError, address
 from cypressledge.contract import State
 from cypressledge.core import Core
 from cypressledge.counters import Counters
@@ -24,7 +24,8 @@
 from cypressledge.fleet.lease import Electorate, VoterSetError
 from cypressledge.fleet.members import STATES, Member, Members
 from cypressledge.fleet.messages import (
-    Ack, Envelope, Figures, FiguresWanted, Ping, PingFor, Plan, PlanWanted, Sight, Summary, ZoneWish,
+    Ack, Ask, Envelope, Figures, FiguresWanted, Freed, GiveBack, Ping, PingFor, Plan, PlanWanted, Refuse,
+    Sight, Summary, ZoneWish,
 )
 from cypressledge.fleet.ranks import line
 from cypressledge.fleet.runner import Runner, Task
@@ -32,21 +33,26 @@
 from cypressledge.fleet.summary import figures
 from cypressledge.fleet.tasks import Call, Summaries
 from cypressledge.fleet.zoneplan import Pace
-from cypressledge.fleet.zones import STEP_S, Zones
+from cypressledge.fleet.zones import STEP_S, Site, Zones
 
 AT_ONCE = 16  # datagrams looked at before others have their turn
 SLICE_US = 300  # of the owner's turn, after which requests go first
-PAUSE = 0.01  # seconds between turns: what comes close together is answered together
+PAUSE = 0.03  # seconds between turns: what comes close together is answered together
+PAUSE_SHORT = 0.002  # where it is urgent
 RUN_BITS = 62
+OF_MEMBERS = frozenset((Ping, Ack, PingFor))
+OF_ZONES = frozenset((Sight, Plan, PlanWanted, ZoneWish))
+OF_SUMMARIES = frozenset((FiguresWanted, Figures, Summary))
+URGENT = frozenset((Freed, GiveBack, Refuse, PingFor, Plan, ZoneWish, PlanWanted, Sight))
 QUIET = ("not_won", "voted_not")  # events that are counted only
 
 
 class FleetPart:
     """What one broker has to do with the others."""
 
-    def __init__(self, path: str, name: str, classes: tuple[str, ...], zones: tuple[str, ...],
-                 core: Core, counters: Counters) -> None:
-        self.path, self.name, self.classes, self.core, self.counters = path, name, classes, core, counters
+    def __init__(self, path: str, config: Config, core: Core, counters: Counters) -> None:
+        self.path, self.name, self.classes = path, config.name, config.classes
+        name, self.core, self.counters = self.name, core, counters
         told = self.told = read_fleet(path)
         own = next((p for p in told.peers if p.name == name), None)
         if own is None:
@@ -68,7 +74,7 @@
         self.summaries = Summaries(name, self._figures, lambda: sorted(self.members.alive() - {name}),
                                    lambda: [p.name for p in self.told.peers], self.exchange.out,
                                    self.clock.now)
-        self.zones = self._zones(told, zones)
+        self.zones = self._zones(told, config)
         self.runner = Runner([self._task(t) for t in told.tasks], self._grant, self.clock.now,
                              Budget(told.task_share), self._event)
         self.turns: set[str] = set()
@@ -101,18 +107,26 @@
         return [p for spec in told.leases
                 for p in places(spec.name, spec.places, told.term(spec), spec.wanted)]
 
-    def _zones(self, told: FleetSettings, names: tuple[str, ...]) -> Zones | None:
+    def _zones(self, told: FleetSettings, config: Config) -> Zones | None:
         """Zone failover, where a task asks for it."""
         spec = next((t for t in told.tasks if t.kind == "zones"), None)
         if spec is None:
             return None
-        site, pace = self.core.settings, told.zone_pace
-        where = {p.name: p.zone for p in told.peers}
+        for region in told.regions:
+            for zone in region.zones:
+                if zone not in config.zones or region.name in config.zones:
+                    known = " ".join(config.zones)
+                    raise ConfigError(f"{self.path}: region {region.name}: the zones are {known}")
+        settings, pace = self.core.settings, told.zone_pace
+        usual = Pace()
+        warm = settings.warm_within or usual.warm
+        site = Site(config.zones, {p.name: p.zone for p in told.peers},
+                    {zone: r.name for r in told.regions for zone in r.zones}, config.quotas)
         return Zones(
-            self.name, self.core, names, where, Pace(
+            self.name, self.core, site, Pace(
                 confirm=round(pace.confirm_s * 1e6), hold=round(pace.hold_s * 1e6), margin=pace.margin,
                 hold_most=round(pace.hold_most_s * 1e6), bear=pace.bear,
-                start=site.start_capacity, warm=site.warm_within or Pace.warm),
+                start=settings.start_capacity, warm=warm, step=min(usual.step, warm // 32)),
             self.clock.now, self.exchange.out, lambda: sorted(self.members.alive() - {self.name}),
             lambda: line(spec.lease, self.members.alive()), self._event)
 
@@ -159,26 +173,36 @@
 
     def _wait(self, due: int) -> None:
         if not self.exchange.inbox:
-            self.exchange.woken.clear()
             left = (due - self.clock.now()) / 1e6 / self.clock.rate
             if left > 0:
                 self.exchange.woken.wait(min(left, 0.25))
-        gevent.sleep(PAUSE)
+        self.exchange.drain()
+        gevent.sleep(PAUSE_SHORT if self._urgent() else PAUSE)
+        self.exchange.drain()
+
+    def _urgent(self) -> bool:
+        """Whether a lease, or the plan, is about to move: that does not wait for what else may come. Renewals
+        and pings do."""
+        items = (i for e in self.exchange.inbox for i in e.items)
+        return self.keeper.asking() or any(
+            type(i) in URGENT or (type(i) is Ask and not i.renews) for i in items)
 
     def _receive(self, now: int, envelope: Envelope) -> None:
         mine = envelope.sender == self.name
         if not mine and not self.members.hear(now, envelope.sender, envelope.incarnation):
             self.counters.add("fleet.former_self")
+            self.members.refute(envelope.items)
             return
         self.electorate.hear(now, envelope.sender, envelope.floor)
         self.versions[envelope.sender] = envelope.voters
         for item in envelope.items:
-            if isinstance(item, Ping | Ack | PingFor):
+            kind = type(item)
+            if kind in OF_MEMBERS:
                 self.members.receive(now, envelope.sender, item)
-            elif isinstance(item, Sight | Plan | PlanWanted | ZoneWish):
+            elif kind in OF_ZONES:
                 if self.zones is not None:
                     self.zones.receive(envelope.sender, item)
-            elif isinstance(item, FiguresWanted | Figures | Summary):
+            elif kind in OF_SUMMARIES:
                 self.summaries.receive(envelope.sender, item)
             else:
                 self.keeper.receive(now, envelope.sender, item)
@@ -281,7 +305,7 @@
             if self.name not in (p.name for p in told.peers):
                 raise ConfigError(f"{self.path}: this broker, {self.name}, is not among the peers")
             fixed = ("term_s", "longest", "drift_ppm", "listen", "lab", "tasks", "ping_s", "task_share",
-                     "zone_pace")
+                     "zone_pace", "regions")
             for key in fixed:
                 if getattr(told, key) != getattr(self.told, key):
                     raise ConfigError(f"{self.path}: another {key} needs a restart of all brokers")
@@ -403,7 +427,7 @@
             told = msgspec.json.decode(request.body, type=Wish)
         except msgspec.MsgspecError as err:
             return 400, f"{err}\n".encode()
-        if told.zone not in self.zones.names:
+        if told.zone not in (*self.zones.names, *self.zones.site.regions):
             return 404, b"no such zone\n"
         wish = (told.zone, told.what, round(told.span_s * 1e6), told.why)
         if dry:
--- a/cypressledge/fleet/settings.py
+++ b/cypressledge/fleet/settings.py
@@ -65,18 +65,25 @@
 class ZonePace(Strict, frozen=True):
     """How zones are left and returned to; seconds, and parts of one. What engines bear is the site's."""
 
-    confirm_s: Seconds = 0.4
+    confirm_s: Seconds = 0.3
     hold_s: Seconds = 5.0
     hold_most_s: Seconds = 300.0
     margin: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.8
     bear: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.9
 
 
+class Region(Strict, frozen=True):
+    """Zones that are left and returned to together."""
+
+    name: Name
+    zones: Annotated[list[Name], msgspec.Meta(min_length=1)]
+
+
 class Wish(Strict, frozen=True):
     """What an operator wants of a zone, and for how long."""
 
     zone: str
-    what: Literal["leave", "hold", "return"]
+    what: Literal["leave", "practice", "hold", "return"]
     span_s: Annotated[float, msgspec.Meta(gt=0, le=86_400)] = 600.0
     why: Annotated[str, msgspec.Meta(min_length=1, max_length=120)] = "no reason given"
 
@@ -105,6 +112,7 @@
     task_share: Annotated[float, msgspec.Meta(gt=0, le=0.2)] = 0.02
     listen: str = ""
     zone_pace: ZonePace = ZonePace()
+    regions: list[Region] = []
     lab: Lab = Lab()
 
     @property
@@ -150,6 +158,8 @@
     _once(names, "peer")
     _once([p.address for p in told.peers], "address")
     _once([spec.name for spec in told.leases], "lease")
+    _once([r.name for r in told.regions], "region")
+    _once([zone for r in told.regions for zone in r.zones], "a region's zone")
     _once([(t.kind, t.lease) for t in told.tasks], "task")
     if not 1 <= len(names) <= PEERS_MOST:
         raise ConfigError(f"{len(names)} peers; 1 to {PEERS_MOST} can be")
--- a/cypressledge/fleet/zoneplan.py
+++ b/cypressledge/fleet/zoneplan.py
@@ -16,6 +16,8 @@
 FULL = 1_000  # permille: a whole share
 STEP = 16  # parts that a return goes in
 S = 1_000_000
+REJOIN = 2 * S  # µs that a broker keeps out of a zone it left alone, for the planner to take that on
+AWAY = ("out", "practice")  # what operators want that keeps a zone empty
 
 
 class Stage(Enum):
@@ -34,7 +36,7 @@
     `warm`: how long it takes to be warm; `margin`: of that, what a return asks of it; `bear`: how much of
     their cores the other zones may be asked for when a zone that still serves is left."""
 
-    confirm: int = 400_000
+    confirm: int = 300_000
     calm: int = 2 * S
     drain: int = 2 * S
     hold: int = 5 * S
@@ -69,8 +71,9 @@
     flaps: int = 0
     bad_since: int | None = None
     fine_since: int | None = None
-    by_hand: str = ""  # out, hold, or none
+    by_hand: str = ""  # out, practice, hold, or none
     hand_until: int = 0
+    kept: str = ""  # why it was not left, as last said
     stepped: int = 0  # when its share last grew
 
 
@@ -100,23 +103,27 @@
         self.pace, self.told = pace, told
         self.zones = {z: Zone(z, since=now) for z in zones}
         self.number = 0
+        self.over = 0.0  # part of all work that is over its tenants' shares
+        self.short = False  # the others can't bear what has been left: that part is refused
 
     # Taking over, and being told
 
-    def resume(self, plan: Plan, now: int) -> None:
+    def resume(self, number: int, stand: list[ZoneStands], short: bool, now: int) -> None:
         """Go on from another planner's plan: shares and ages as they stand, so that nothing jumps."""
-        self.number = max(self.number, plan.number)
-        for stands in plan.zones:
+        self.number, self.short = max(self.number, number), short
+        for stands in stand:
             if stands.name in self.zones:
                 zone = self.zones[stands.name]
                 zone.stage, zone.share = Stage(stands.stage), stands.share
                 zone.since, zone.flaps, zone.why = now - stands.age, stands.flaps, stands.why
                 zone.by_hand, zone.hand_until = stands.by_hand, now + stands.hand_left
 
-    def leave(self, name: str, now: int, until: int, why: str) -> None:
-        """An operator wants a zone left, up to a time."""
-        self.zones[name].by_hand, self.zones[name].hand_until = "out", until
-        self.zones[name].why = why
+    def leave(self, name: str, now: int, until: int, why: str, practice: bool = False) -> None:
+        """An operator wants a zone left, up to a time. A practice is given up where the others can't bear it
+        whole, and as soon as anything else fails."""
+        zone = self.zones[name]
+        zone.by_hand, zone.hand_until, zone.kept = "practice" if practice else "out", until, ""
+        zone.why = why
 
     def hold(self, name: str, now: int, until: int, why: str) -> None:
         """An operator wants a zone to stay as it is, up to a time."""
@@ -132,25 +139,43 @@
             zone.bad_since, zone.stepped = None, now
             zone.share = max(zone.share, ramp(0, self.pace))
 
+    def adopt(self, name: str, now: int, why: str) -> None:
+        """Brokers have left a zone while there was no planner: it is out, and comes back like any other."""
+        zone = self.zones[name]
+        zone.share, zone.bad_since = 0, None
+        self._go(zone, Stage.OUT, now, why)
+
     # The step
 
-    def step(self, now: int, findings: dict[str, Finding], loads: dict[str, Load]) -> bool:
+    def step(self, now: int, findings: dict[str, Finding], loads: dict[str, Load],
+             over: float = 0.0) -> bool:
         """Let time and findings work; whether the plan has changed."""
-        before = self._key()
+        before, self.over = self._key(), over
         for zone in self.zones.values():
             self._note(zone, findings, now, loads)
         for zone in self.zones.values():
             if zone.by_hand and now >= zone.hand_until:
                 self.told("zone_hand_over", zone.name, f"the time for {zone.by_hand} has passed")
                 zone.by_hand = ""
+            if zone.by_hand == "practice" and (bad := self._trouble(zone)):
+                self._end_practice(zone, f"{bad} fails")
+                if zone.stage is not Stage.SERVING:
+                    self.back(zone.name, now, f"practice over: {bad} fails")
             if zone.by_hand != "hold":
                 getattr(self, "_" + zone.stage.value)(zone, findings.get(zone.name), now, loads)
+        if all(z.stage is Stage.SERVING for z in self.zones.values()):
+            self.short = False
         changed = self._key() != before
         self.number += changed
         return changed
 
+    def _trouble(self, practising: Zone) -> str:
+        """Another zone that fails, if one does."""
+        return next((z.name for z in self.zones.values() if z is not practising and (
+            z.bad_since is not None or z.stage in (Stage.SUSPECT, Stage.LEAVING, Stage.OUT))), "")
+
     def _key(self) -> tuple:
-        return tuple((z.stage, z.share, z.by_hand) for z in self.zones.values())
+        return (self.short, *((z.stage, z.share, z.by_hand) for z in self.zones.values()))
 
     def _idle(self, zone: Zone, findings: dict[str, Finding], loads: dict[str, Load]) -> bool:
         """Whether a zone is slow for another reason than its work: it does little, and another is fine."""
@@ -176,13 +201,13 @@
         zone.share = FULL
         if now - zone.since > self.pace.forget:
             zone.flaps = 0
-        if zone.by_hand == "out":
+        if zone.by_hand in AWAY:
             self._leave(zone, finding, now, loads, zone.why)
         elif zone.bad_since is not None:
             self._go(zone, Stage.SUSPECT, now, finding.why)
 
     def _suspect(self, zone: Zone, finding: Finding | None, now: int, loads: dict[str, Load]) -> None:
-        if zone.by_hand == "out":
+        if zone.by_hand in AWAY:
             self._leave(zone, finding, now, loads, zone.why)
         elif zone.bad_since is None:
             self._go(zone, Stage.SERVING, now, "the failures have ended")
@@ -193,39 +218,62 @@
                why: str) -> None:
         lost = finding is not None and finding.verdict is Verdict.LOST
         others = [z for z in self.zones.values() if z is not zone and z.share == FULL
-                  and z.bad_since is None and z.by_hand != "out"]
+                  and z.bad_since is None and z.by_hand not in AWAY]
         if not others:
-            if zone.why != "floor":
-                self.told("zone_kept", zone.name, "no other zone serves whole: the last ones are not left")
-            zone.why = "floor"
+            self._keep(zone, "no other zone serves whole: the last ones are not left")
+            return
+        rest = self._rest(zone, others, loads, 0.0)
+        if zone.by_hand == "practice" and rest:
+            self._end_practice(zone, "the others can't bear its load")
             return
-        share = 0 if lost else self._rest(zone, others, loads)
+        self.short |= rest > 0
+        share = 0 if lost else self._rest(zone, others, loads, self.over) if rest else 0
         if share >= FULL:
-            if not zone.why.startswith("kept"):
-                self.told("zone_kept", zone.name, "the other zones can't bear any of its load")
-            zone.why = "kept: the other zones can't bear any of its load"
+            self._keep(zone, "the other zones can't bear any of its load")
             return
-        zone.share = share
+        zone.share, zone.kept = share, ""
         part = f"{100 - share // 10}% of it: the others can't bear more; " if share else ""
+        if rest and self.over > 0:
+            part += f"what is over its tenants' shares ({self.over:.0%}) is refused first; "
         self._go(zone, Stage.LEAVING, now, part + why)
 
-    def _rest(self, zone: Zone, others: list[Zone], loads: dict[str, Load]) -> int:
-        """What of a zone that still serves has to stay, permille, for the others to bear the rest."""
-        own = loads.get(zone.name, Load(0.0, 1.0))
-        spare = sum(max(0.0, self.pace.bear * loads[z.name].cores - loads[z.name].used)
+    def _keep(self, zone: Zone, why: str) -> None:
+        """A zone is not left after all; said once."""
+        if zone.kept != why:
+            zone.kept = why
+            self.told("zone_kept", zone.name, why)
+
+    def _end_practice(self, zone: Zone, why: str) -> None:
+        zone.by_hand = ""
+        self.told("zone_practice_over", zone.name, why)
+
+    def _rest(self, zone: Zone, others: list[Zone], loads: dict[str, Load], over: float) -> int:
+        """What of a zone that still serves has to stay, permille, for the others to bear the rest. `over`:
+        the part of all work that is refused first."""
+        own = loads.get(zone.name, Load(0.0, 1.0)).used * (1 - over)
+        spare = sum(max(0.0, self.pace.bear * loads[z.name].cores - loads[z.name].used * (1 - over))
                     for z in others if z.name in loads)
-        if own.used <= 0:
+        if own <= 0:
             return 0
-        stays = max(0.0, 1 - spare / own.used)
+        stays = max(0.0, 1 - spare / own)
         return -(-int(stays * FULL) * STEP // FULL) * FULL // STEP if stays else 0
 
     def _leaving(self, zone: Zone, finding: Finding | None, now: int, loads: dict[str, Load]) -> None:
+        self._whole(zone, finding, now)
         if now - zone.since >= self.pace.drain:
             self._go(zone, Stage.OUT, now, zone.why)
 
+    def _whole(self, zone: Zone, finding: Finding | None, now: int) -> None:
+        """What was left in part, and is lost now, is left whole."""
+        lost = finding is not None and finding.verdict is Verdict.LOST and zone.bad_since is not None
+        if zone.share and lost and now - zone.bad_since >= self.pace.confirm:
+            zone.share, zone.why = 0, finding.why
+            self.told("zone_left_whole", zone.name, finding.why)
+
     def _out(self, zone: Zone, finding: Finding | None, now: int, loads: dict[str, Load]) -> None:
+        self._whole(zone, finding, now)
         waited = now - zone.since >= min(self.pace.hold << zone.flaps, self.pace.hold_most)
-        if zone.by_hand != "out" and waited:
+        if zone.by_hand not in AWAY and waited:
             out = (now - zone.since) / S
             self._go(zone, Stage.RETURNING, now, f"out for {out:.0f} s, flaps {zone.flaps}")
             zone.bad_since = zone.fine_since = None
@@ -233,8 +281,8 @@
 
     def _returning(self, zone: Zone, finding: Finding | None, now: int, loads: dict[str, Load]) -> None:
         failed = zone.bad_since is not None and now - zone.bad_since >= self.pace.confirm
-        if zone.by_hand == "out" or failed:
-            zone.flaps = min(zone.flaps + (zone.by_hand != "out"), 16)
+        if zone.by_hand in AWAY or failed:
+            zone.flaps = min(zone.flaps + (zone.by_hand not in AWAY), 16)
             zone.share = 0
             again = f"it failed again: {finding.why if finding else zone.why}"
             self._go(zone, Stage.OUT, now, zone.why if zone.by_hand else again)
@@ -250,21 +298,22 @@
 
     # The plan
 
-    def plan(self, token: int, run: int, now: int) -> Plan:
-        """What brokers are to follow."""
-        return Plan(token, run, self.number, [
-            ZoneStands(z.name, z.stage.value, z.share, now - z.since, z.flaps, z.by_hand,
-                       max(0, z.hand_until - now) if z.by_hand else 0, z.why[:160])
-            for z in self.zones.values()])
+    def stands(self, now: int) -> list[ZoneStands]:
+        """How all zones stand."""
+        return [ZoneStands(z.name, z.stage.value, z.share, now - z.since, z.flaps, z.by_hand,
+                           max(0, z.hand_until - now) if z.by_hand else 0, z.why[:160])
+                for z in self.zones.values()]
 
 
 class Follower:
-    """The newest plan a broker knows, and what it does alone while there is no planner."""
+    """The newest plan a broker knows, and what it does alone while there is no planner. `region`: of each
+    zone that is in one."""
 
-    def __init__(self, broker: str, alone_after: int = 3 * S) -> None:
-        self.broker, self.alone_after = broker, alone_after
+    def __init__(self, broker: str, region: dict[str, str] | None = None, alone_after: int = 3 * S) -> None:
+        self.broker, self.region, self.alone_after = broker, region or {}, alone_after
         self.plan: Plan | None = None
-        self.heard = 0
+        self.stands: dict[str, ZoneStands] = {}
+        self.heard = self.back = 0  # when a plan came last; when the last time without a planner ended
         self.alone: set[str] = set()  # zones left on own evidence
         self.turned_down = 0
 
@@ -272,13 +321,23 @@
         """Take a plan unless it is an older one; whether it was taken."""
         old = self.plan
         twin = old is not None and plan.token == old.token and plan.run != old.run
-        if twin or (old is not None and (plan.token, plan.number) < (old.token, old.number)):
+        if twin or (old is not None and self.older(plan, old)):
             self.turned_down += 1
             return False
+        if self.deserted(now):
+            self.back = now
         self.plan, self.heard = plan, now
-        self.alone.clear()
+        self.stands = {z.name: z for z in (*plan.zones, *plan.regions)}
+        # Guards against a return all at once: the planner hears what was left before its word on it counts.
+        told = now - self.back >= REJOIN
+        kept = {z for z in self.stands if self.stands[z].share == FULL}
+        self.alone = set() if told else self.alone & kept
         return True
 
+    def older(self, plan: Plan, known: Plan) -> bool:
+        """Whether a plan is older than the one known: its planner's token, then its number."""
+        return (plan.token, plan.number) < (known.token, known.number)
+
     def deserted(self, now: int) -> bool:
         """Whether no planner has been heard for so long that strong evidence of one's own counts."""
         return now - self.heard >= self.alone_after
@@ -295,11 +354,11 @@
         return True
 
     def share(self, zone: str) -> int:
-        """This zone's share here, permille."""
+        """This zone's share here, permille: no more than its region's."""
         if zone in self.alone:
             return 0
-        stands = next((z for z in self.plan.zones if z.name == zone), None) if self.plan else None
-        return FULL if stands is None else stands.share
+        shares = [s.share for name in (zone, self.region.get(zone, "")) if (s := self.stands.get(name))]
+        return min(shares, default=FULL)
 
     def opened(self, engine: int, zone: str) -> bool:
         """Whether this broker may send to an engine."""
--- a/cypressledge/fleet/zones.py
+++ b/cypressledge/fleet/zones.py
@@ -4,45 +4,76 @@
 `Core._tell`, the one place that every list passes. Told the time in µs of the clock that leases use.
 """
 
+from collections import Counter
 from collections.abc import Callable, Generator
 from copy import deepcopy
+from dataclasses import dataclass
 
 from cypressledge import contract as c
-from cypressledge.core import Attempt, Core
+from cypressledge.core import Attempt, Core, Query
 from cypressledge.fleet.evidence import Evidence
-from cypressledge.fleet.judge import Judgement, Told, judge
+from cypressledge.fleet.judge import FADE, Judgement, Told, judge
 from cypressledge.fleet.keeper import Granted
 from cypressledge.fleet.messages import Plan, PlanWanted, Sight, ZoneWish
-from cypressledge.fleet.zoneplan import FULL, Follower, Load, Pace, Planner
+from cypressledge.fleet.shed import Arrivals, is_shed, over_part, over_shares
+from cypressledge.fleet.zoneplan import FULL, Follower, Load, Pace, Planner, Stage
 
-EVERY = 250_000  # µs between looks at what is out, and between sights that say something new
-IDLE_EVERY = 1_000_000  # µs between sights that say only that all is well
+EVERY = 200_000  # µs between looks at what is out, and between sights that say something new
+IDLE_EVERY = 500_000  # µs between sights that say only that all is well
+LINE_EVERY = 1_000_000  # µs between those to the planner's likely followers
 REPEAT = 1_000_000  # µs between sayings of an unchanged plan
+AGAIN = {1: 100_000, 2: 200_000}  # µs after the first saying and the second: a datagram may get lost
 STEP_S = 0.1  # seconds between steps of the planner
 START_MOST = 1_500_000  # µs that a broker that starts waits for a plan before it goes without
+CROWDED = 4.0  # the most that crowding lengthens what is expected
+DRY_MOST = 120_000_000  # µs that a dry run looks ahead
+STEP_EACH = 100_000  # µs between its steps
 CHANGING = 10_000_000  # µs after its birth that an engine's failures are taken for a release's
 
 
+@dataclass(frozen=True, slots=True)
+class Site:
+    """Where things stand: the zones of engines, the zone of each broker, the region of each zone, and each
+    tenant's share (requests a second over all brokers)."""
+
+    zones: tuple[str, ...]
+    broker_zone: dict[str, str]
+    region: dict[str, str]
+    quotas: dict[str, float]
+
+    def zone_of(self, entry: c.Entry) -> str:
+        """An engine's zone by name."""
+        return self.zones[min(entry.zone, len(self.zones) - 1)]
+
+    @property
+    def regions(self) -> list[str]:
+        """All regions."""
+        return sorted(set(self.region.values()))
+
+
 class Zones:
     """What one broker does about zones. `peers` gives the living, `line` the first in line for the lease."""
 
-    def __init__(self, name: str, core: Core, zones: tuple[str, ...], broker_zone: dict[str, str], pace: Pace,
-                 now: Callable[[], int], out: Callable[[str, object], None], peers: Callable[[], list[str]],
+    def __init__(self, name: str, core: Core, site: Site, pace: Pace, now: Callable[[], int],
+                 out: Callable[[str, object], None], peers: Callable[[], list[str]],
                  line: Callable[[], list[str]], told: Callable[..., None]) -> None:
-        self.name, self.core, self.names, self.broker_zone = name, core, zones, broker_zone
-        self.pace, self.now, self.out, self.peers, self.line, self.told = pace, now, out, peers, line, told
-        self.evidence, self.follower = Evidence(), Follower(name)
+        self.name, self.core, self.names, self.site, self.pace = name, core, site.zones, site, pace
+        self.now, self.out, self.peers, self.line, self.told = now, out, peers, line, told
+        self.evidence, self.arrivals = Evidence(), Arrivals()
+        self.follower = Follower(name, site.region)
         self.follower.heard = now()
         self.sights: dict[str, tuple[int, Sight]] = {}
         self.planner: Planner | None = None
+        self.regions: Planner | None = None
         self.grant: Granted | None = None
         self.planner_name = ""
         self.noted: dict[Attempt, int] = {}
-        self.due = self.sent_at = self.said_at = 0
+        self.due = self.sent_at = self.said_at = self.told_line = 0
         self.started, self.waiting = now(), True
-        self.judgement = Judgement({}, {})
+        self.judgement = self.of_regions = Judgement({}, {})
         self.last_said: dict[str, str] = {}
-        core.observer, core.shut = self, self.shut
+        self.shed = self.said = 0
+        core.observer, core.shut, core.door = self, self.shut, self.admit
 
     # What the core tells
 
@@ -58,8 +89,9 @@
         self.noted[attempt] = self.now()
 
     def _expected(self, query) -> int:
-        """µs that a query should take on an engine that is not crowded."""
-        return query.cost // max(1, self.core.settings.classes[query.cls].threads)
+        """µs that a query should take as engines answer its class now: if all are crowded, none is lost."""
+        run = query.cost / max(1, self.core.settings.classes[query.cls].threads)
+        return int(run * min(max(self.core.manager.class_slow[query.cls], 1.0), CROWDED))
 
     def _look(self, now: int) -> None:
         """At the attempts that are out: which have been quiet for long."""
@@ -79,11 +111,19 @@
         """Whether the plan closes an engine to this broker."""
         if self.waiting or not self.names:
             return False
-        return not self.follower.opened(entry.engine, self._zone_of(entry))
-
-    def _zone_of(self, entry: c.Entry) -> str:
-        """An engine's zone by name."""
-        return self.names[min(entry.zone, len(self.names) - 1)]
+        return not self.follower.opened(entry.engine, self.site.zone_of(entry))
+
+    def admit(self, query: Query) -> bool:
+        """Whether a request is let in: what is over its tenant's share is not, while the zones that serve
+        can't bear all."""
+        self.arrivals.add(self.now(), query.tenant)
+        plan = self.follower.plan
+        part = plan.shed.get(query.tenant, 0) if plan is not None and not self.follower.deserted(
+            self.now()) else 0
+        if part and is_shed(query.id, part):
+            self.shed += 1
+            return False
+        return True
 
     # What peers tell
 
@@ -123,22 +163,29 @@
             return self.due
         self.due = now + EVERY
         self._look(now)
-        sight = self.evidence.sight(now)
-        bad = any(e.refused or e.broken or e.silent or e.late for e in sight.engines)
+        sight = Sight(self.evidence.sight(now), self.arrivals.counts(now), sorted(self.follower.alone))
+        bad = any(e.fails or e.late for e in sight.engines)
         if now - self.sent_at >= (EVERY if bad else IDLE_EVERY):
             self.sent_at = now
             self.sights[self.name] = (now, sight)
-            for peer in {self.planner_name, *self.line()} - {self.name, ""}:
+            to = {self.planner_name}
+            if now - self.told_line >= LINE_EVERY:  # who may follow the planner knows roughly how things are
+                self.told_line = now
+                to |= set(self.line())
+            for peer in to - {self.name, ""}:
                 self.out(peer, sight)
         if self.waiting:
             self._wait_for_plan(now)
-        own = self._judge([Told(self.name, self.broker_zone.get(self.name, ""), 0, sight)])
+        own = self._judge([self._own(sight)])
         if self.follower.see(now, own.zones):
             self.told("zones_left_alone", zones=sorted(self.follower.alone),
                       why="; ".join(own.zones[z].why for z in sorted(self.follower.alone)))
             self.core.retell()
         return self.due
 
+    def _own(self, sight: Sight) -> Told:
+        return Told(self.name, self.site.broker_zone.get(self.name, ""), 0, sight)
+
     def _wait_for_plan(self, now: int) -> None:
         if now - self.started >= START_MOST:
             self.waiting = False
@@ -152,37 +199,83 @@
         """One step of the planner; begins where the newest plan stands."""
         now = self.now()
         if self.planner is None or self.grant is None or self.grant.token != grant.token:
-            self.planner = Planner(list(self.names), self.pace, now, self._zone_told)
-            if self.follower.plan is not None:
-                self.planner.resume(self.follower.plan, self.follower.heard)
-            self.grant, self.said_at = grant, 0
-            self.told("planner", token=grant.token, number=self.planner.number)
-        self.judgement = self._judge(self._all(now))
+            self._take_over(grant, now)
+        told = self._all(now)
+        self.judgement = self._judge(told)
+        if self.site.region:
+            self.of_regions = self._judge(told, self.site.region)
         yield None
         self._say_blind()
-        changed = self.planner.step(now, self.judgement.zones, self.loads())
-        if changed or now - self.said_at >= REPEAT:
-            self.said_at = now
-            plan = self.planner.plan(grant.token, grant.run, now)
+        self._adopt(told, now)
+        over = over_shares(self._counts(now), self.site.quotas)
+        short = self.planner.short or self.regions.short
+        part = 0.0 if short else over_part(self._counts(now), over)  # what is refused is not in the loads
+        loads = self.loads()
+        changed = self.planner.step(now, self.judgement.zones, loads, part)
+        if self.site.region:
+            changed |= self.regions.step(now, self.of_regions.zones, self._summed(loads), part)
+        self.said = 0 if changed else self.said
+        if changed or now - self.said_at >= AGAIN.get(self.said, REPEAT):
+            self.said_at, self.said = now, self.said + 1
+            plan = self._plan(grant, over, now)
             self._take(plan, self.name, now)
             for peer in self.peers():
                 self.out(peer, plan)
 
+    def _adopt(self, told: list[Told], now: int) -> None:
+        """Take on what most brokers left by themselves, so that they do not come back all at once."""
+        fresh = [t for t in told if t.age < FADE]
+        for name, zone in self.planner.zones.items():
+            alone = sum(name in t.sight.alone for t in fresh)
+            others = any(z.share == FULL for z in self.planner.zones.values() if z is not zone)
+            if zone.stage is Stage.SERVING and others and alone >= max(2, len(fresh) / 2):
+                self.planner.adopt(name, now, f"{alone} of {len(fresh)} brokers left it without a planner")
+
+    def _take_over(self, grant: Granted, now: int) -> None:
+        """Begin to plan, from where the newest plan stands."""
+        self.planner = Planner(list(self.names), self.pace, now, self._zone_told)
+        self.regions = Planner(self.site.regions, self.pace, now, self._region_told)
+        if (known := self.follower.plan) is not None:
+            heard = self.follower.heard
+            self.planner.resume(known.number, known.zones, bool(known.shed), heard)
+            self.regions.resume(0, known.regions, False, heard)
+        self.grant, self.said_at = grant, 0
+        self.told("planner", token=grant.token, number=self.planner.number)
+
+    def _plan(self, grant: Granted, over: dict[str, int], now: int) -> Plan:
+        short = self.planner.short or self.regions.short
+        return Plan(grant.token, grant.run, self.planner.number + self.regions.number,
+                    self.planner.stands(now), self.regions.stands(now), over if short else {})
+
+    def _counts(self, now: int) -> dict[str, int]:
+        """Requests of each tenant at all brokers, in the time that sights cover."""
+        total: Counter[str] = Counter()
+        for at, sight in self.sights.values():
+            if now - at < FADE:
+                total.update(sight.tenants)
+        return total
+
     def step_down_from(self, lease: str) -> None:
         """A lease is gone; if it is the planner's, its plan is only the last one that this broker knows."""
         if self.grant is not None and self.grant.lease == lease:
-            self.planner = self.grant = None
+            self.planner = self.regions = self.grant = None
 
     def _all(self, now: int) -> list[Told]:
-        return [Told(b, self.broker_zone.get(b, ""), now - at, sight)
+        return [Told(b, self.site.broker_zone.get(b, ""), now - at, sight)
                 for b, (at, sight) in self.sights.items()]
 
-    def _judge(self, told: list[Told]) -> Judgement:
+    def _judge(self, told: list[Told], region: dict[str, str] | None = None) -> Judgement:
+        """Judge all zones; or all regions, of zones that are in one."""
         engines, changing, clock = {}, set(), self.core.now()
+        if region:
+            told = [Told(t.broker, region.get(t.zone, t.zone), t.age, t.sight) for t in told]
         for held in self.core.lists.values():
             for entry, _ in held:
-                if self.names:
-                    engines[entry.engine] = self._zone_of(entry)
+                zone = self.site.zone_of(entry) if self.names else ""
+                if zone and not region:
+                    engines[entry.engine] = zone
+                elif region and zone in region:
+                    engines[entry.engine] = region[zone]
                 if entry.state is not c.State.READY or clock - entry.born < CHANGING:
                     changing.add(entry.engine)
         return judge(told, engines, frozenset(changing))
@@ -194,7 +287,7 @@
         zone_of = {}
         for held in self.core.lists.values():
             for entry, _ in held:
-                zone = zone_of[entry.engine] = self._zone_of(entry)
+                zone = zone_of[entry.engine] = self.site.zone_of(entry)
                 if entry.state is c.State.READY:
                     kinds = self.core.settings.kind_cores
                     cores[zone] += kinds[min(entry.kind, len(kinds) - 1)]
@@ -206,6 +299,19 @@
                         used[zone_of[seen.engine]] += seen.work / 2_000_000
         return {z: Load(used[z], cores[z]) for z in self.names}
 
+    def _summed(self, loads: dict[str, Load]) -> dict[str, Load]:
+        """The regions' loads, out of their zones'."""
+        total: dict[str, Load] = {}
+        for zone, load in loads.items():
+            if region := self.site.region.get(zone):
+                was = total.get(region, Load(0.0, 0.0))
+                total[region] = Load(was.used + load.used, was.cores + load.cores)
+        return total
+
+    def _region_told(self, event: str, region: str, why: str) -> None:
+        self.told(event.replace("zone_", "region_"), region=region, why=why,
+                  token=self.grant.token if self.grant else 0)
+
     def _zone_told(self, event: str, zone: str, why: str) -> None:
         self.told(event, zone=zone, why=why, token=self.grant.token if self.grant else 0)
 
@@ -228,45 +334,57 @@
         return self.planner_name
 
     def _wish(self, wish: ZoneWish, now: int, planner: Planner | None = None) -> None:
-        planner = planner or self.planner
+        planner = planner or self._planner_of(wish.zone)
         if wish.zone not in planner.zones:
             return
-        if wish.what == "leave":
-            planner.leave(wish.zone, now, now + wish.span, f"by hand: {wish.why}")
+        if wish.what in ("leave", "practice"):
+            why = f"{'practice' if wish.what == 'practice' else 'by hand'}: {wish.why}"
+            planner.leave(wish.zone, now, now + wish.span, why, wish.what == "practice")
         elif wish.what == "hold":
             planner.hold(wish.zone, now, now + wish.span, f"held by hand: {wish.why}")
         else:
             planner.back(wish.zone, now, f"by hand: {wish.why}")
 
+    def _planner_of(self, name: str) -> Planner:
+        return self.regions if name in self.regions.zones else self.planner
+
     def dry_run(self, zone: str, what: str, span: int, why: str) -> list[str] | None:
         """What a wish would lead to now, step by step; None where this broker is not the planner."""
         if self.planner is None:
             return None
         said: list[str] = []
-        told, self.planner.told = self.planner.told, lambda *args: None
+        whole = self._planner_of(zone)
+        told, whole.told = whole.told, lambda *args: None
         try:
-            trial = deepcopy(self.planner)
+            trial = deepcopy(whole)
         finally:
-            self.planner.told = told
-        trial.told = lambda event, name, words: said.append(f"{event} {name}: {words}")
-        now = self.now()
+            whole.told = told
+        now, at = self.now(), 0
+        trial.told = lambda event, name, words: said.append(f"after {at / 1e6:g} s: {event} {name}: {words}")
         self._wish(ZoneWish(zone, what, span, why), now, trial)
-        for after in range(0, min(span, 60_000_000) + 1, 500_000):
-            trial.step(now + after, self.judgement.zones, self.loads())
+        counts, loads = self._counts(now), self.loads()
+        part = over_part(counts, over_shares(counts, self.site.quotas))
+        found = self.judgement
+        if whole is self.regions:
+            loads, found = self._summed(loads), self.of_regions
+        for at in range(0, min(span, DRY_MOST) + 1, STEP_EACH):
+            trial.step(now + at, found.zones, loads, part)
         return said or ["nothing would change"]
 
     def show(self) -> dict:
         """How the zones stand here."""
         now, plan = self.now(), self.follower.plan
         rows = []
-        for name in self.names:
-            stands = next((z for z in plan.zones if z.name == name), None) if plan else None
-            finding = self.judgement.zones.get(name) if self.planner else None
+        for name in (*self.names, *self.site.regions):
+            stands = self.follower.stands.get(name)
+            found = self.of_regions if name in self.site.regions else self.judgement
+            finding = found.zones.get(name) if self.planner else None
             rows.append({
-                "zone": name, "stage": stands.stage if stands else "serving",
-                "share": self.follower.share(name) / FULL, "alone": name in self.follower.alone,
+                "zone": name, "region": self.site.region.get(name, ""),
+                "stage": stands.stage if stands else Stage.SERVING.value,
+                "share": (self.follower.share(name)) / FULL, "alone": name in self.follower.alone,
                 "flaps": stands.flaps if stands else 0, "by_hand": stands.by_hand if stands else "",
                 "finding": finding.verdict.value if finding else "", "why": stands.why if stands else ""})
         return {"planner": self.planner_name, "token": plan.token if plan else 0,
                 "number": plan.number if plan else 0, "heard_s": round((now - self.follower.heard) / 1e6, 2),
-                "zones": rows}
+                "shed": plan.shed if plan else {}, "shed_here": self.shed, "zones": rows}
--- /dev/null
+++ b/tests/test_zone_size.py
@@ -0,0 +1,44 @@
+"""The model at size, small: the program's own decision modules in virtual time, off and on."""
+
+import pytest
+
+from cypressledge.lab import zonesize
+from cypressledge.lab.zonesize import LOSSES, Job, both, draw, play
+
+SMALL = {"brokers": 12, "engines": 12, "zones": 3}
+
+
+@pytest.mark.parametrize("kind", LOSSES)
+def test_a_lost_zone_is_left_by_all_and_come_back_to_without_a_fall(kind):
+    off, on = (play(5, kind=kind, on=way, **SMALL) for way in (False, True))
+    print(off.kept, on.kept, on.left_at, on.last_send, on.whole_at)
+    assert off.last_send > 5  # each broker goes on trying it for as long as it is gone
+    assert on.last_send < {"silent": 2.0, "reset": 2.0, "slow": 3.5, "planner": 5.0}[kind]
+    assert on.kept >= off.kept - 0.3 and on.fallen == 0 and on.false == 0
+    assert on.in_force is not None and on.in_force <= 1.0
+    assert on.whole_at is not None and on.whole_at <= 1.5 * zonesize.WARM / 1e6 + 6
+
+
+@pytest.mark.parametrize("kind", ["cut", "blind", "release"])
+def test_on_days_that_are_no_zones_fault_nothing_is_left(kind):
+    assert play(3, kind=kind, on=True, **SMALL).false == 0
+
+
+def test_a_cold_engine_falls_when_it_is_pushed_and_the_model_sees_it():
+    engine = zonesize.ModelEngine(1, 0, born=zonesize.EPOCH)
+    for n in range(60):
+        assert engine.take(zonesize.EPOCH + n * 10_000, (0, n, 0)) or engine.fallen
+        engine.step(zonesize.EPOCH + n * 10_000)
+    assert engine.fallen and not engine.take(zonesize.EPOCH + zonesize.S, (0, 99, 0))
+    warm = zonesize.ModelEngine(2, 0)
+    for n in range(60):
+        warm.take(n * 10_000, (0, n, 0))
+        warm.step(n * 10_000)
+    assert not warm.fallen
+
+
+def test_the_plot_is_drawn(tmp_path):
+    pytest.importorskip("matplotlib")
+    done = both(Job(1, 6, 6, 2, "reset", 0.4))
+    draw(done, str(tmp_path / "zones.png"))
+    assert (tmp_path / "zones.png").read_bytes()[:4] == b"\x89PNG"
