Zones: a new plan for what is done between two steps; sights wait for their turn

Cause: the planner compared how zones stood before and after a step (zoneplan.Planner.step), so a return by hand and what was adopted from brokers that left alone got no new number and went out with the next repeat, up to 1 s late. It compares with what was last told now. Sights made every turn of the planner a short one; they wait 30 ms like pings.

--- a/cypressledge/fleet/part.py
+++ b/cypressledge/fleet/part.py
@@ -43,7 +43,7 @@
 OF_MEMBERS = frozenset((Ping, Ack, PingFor))
 OF_ZONES = frozenset((Sight, Plan, PlanWanted, ZoneWish))
 OF_SUMMARIES = frozenset((FiguresWanted, Figures, Summary))
-URGENT = frozenset((Freed, GiveBack, Refuse, PingFor, Plan, ZoneWish, PlanWanted, Sight))
+URGENT = frozenset((Freed, GiveBack, Refuse, PingFor, Plan, ZoneWish, PlanWanted))
 QUIET = ("not_won", "voted_not")  # events that are counted only
 
 
--- a/cypressledge/fleet/zoneplan.py
+++ b/cypressledge/fleet/zoneplan.py
@@ -105,6 +105,7 @@
         self.number = 0
         self.over = 0.0  # part of all work that is over its tenants' shares
         self.short = False  # the others can't bear what has been left: that part is refused
+        self.told_key = self._key()
 
     # Taking over, and being told
 
@@ -117,6 +118,7 @@
                 zone.stage, zone.share = Stage(stands.stage), stands.share
                 zone.since, zone.flaps, zone.why = now - stands.age, stands.flaps, stands.why
                 zone.by_hand, zone.hand_until = stands.by_hand, now + stands.hand_left
+        self.told_key = self._key()
 
     def leave(self, name: str, now: int, until: int, why: str, practice: bool = False) -> None:
         """An operator wants a zone left, up to a time. A practice is given up where the others can't bear it
@@ -150,7 +152,7 @@
     def step(self, now: int, findings: dict[str, Finding], loads: dict[str, Load],
              over: float = 0.0) -> bool:
         """Let time and findings work; whether the plan has changed."""
-        before, self.over = self._key(), over
+        self.over = over
         for zone in self.zones.values():
             self._note(zone, findings, now, loads)
         for zone in self.zones.values():
@@ -165,7 +167,8 @@
                 getattr(self, "_" + zone.stage.value)(zone, findings.get(zone.name), now, loads)
         if all(z.stage is Stage.SERVING for z in self.zones.values()):
             self.short = False
-        changed = self._key() != before
+        before, self.told_key = self.told_key, self._key()
+        changed = self.told_key != before  # by hand and what was adopted since the last step as well
         self.number += changed
         return changed
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -360,6 +360,16 @@
     assert arrivals.counts(9 * S) == {}
 
 
+def test_what_is_done_between_two_steps_makes_a_new_plan():
+    play = Play().run(S, a=Verdict.LOST)
+    number = play.planner.number
+    play.planner.back("a", play.now, "by hand")
+    assert play.planner.step(play.now, {}, IDLE) and play.planner.number == number + 1
+    assert not play.planner.step(play.now, {}, IDLE)
+    play.planner.adopt("b", play.now, "3 of 5 brokers left it without a planner")
+    assert play.planner.step(play.now, {}, IDLE) and play.share("b") == 0
+
+
 def test_a_zones_share_is_never_above_its_regions():
     f = Follower("n1", {"a": "north", "b": "north"})
     f.take(Plan(1, 1, 1, [stands(FULL), stands(250, "b")], [stands(500, "north")]), 0)
