--- a/cypressledge/fleet/exchange.py
+++ b/cypressledge/fleet/exchange.py
@@ -111,19 +111,20 @@
             self.woken.set()
             self.drained.wait()
 
-    def drain(self) -> None:
-        """Take in what has come, so many at the most."""
+    def drain(self) -> int:
+        """Take in what has come, so many at the most; how many came."""
         self.woken.clear()
         self.drained.set()
-        for _ in range(DRAIN_MOST):
+        for count in range(DRAIN_MOST):
             try:
                 raw, source = self.sock._sock.recvfrom(LARGEST + 1)
             except BlockingIOError:
-                return
+                return count
             except OSError:
                 self.counters.add("fleet.read_errors")  # an ICMP answer to something sent, most likely
                 continue
             self._take(raw, source)
+        return DRAIN_MOST
 
     def _take(self, raw: bytes, source: tuple[str, int]) -> None:
         bucket = self.buckets.get(source)
--- a/cypressledge/fleet/part.py
+++ b/cypressledge/fleet/part.py
@@ -38,7 +38,8 @@
 AT_ONCE = 16  # datagrams looked at before others have their turn
 SLICE_US = 300  # of the owner's turn, after which requests go first
 PAUSE = 0.03  # seconds between turns: what comes close together is answered together
-PAUSE_SHORT = 0.002  # where it is urgent
+PAUSE_SHORT = 0.002  # where it is urgent, or
+MANY = 32  # datagrams or more have come at once
 RUN_BITS = 62
 OF_MEMBERS = frozenset((Ping, Ack, PingFor))
 OF_ZONES = frozenset((Sight, Plan, PlanWanted, ZoneWish))
@@ -176,8 +177,8 @@
             left = (due - self.clock.now()) / 1e6 / self.clock.rate
             if left > 0:
                 self.exchange.woken.wait(min(left, 0.25))
-        self.exchange.drain()
-        gevent.sleep(PAUSE_SHORT if self._urgent() else PAUSE)
+        many = self.exchange.drain() >= MANY  # a flood must not fill the socket while nobody takes it in
+        gevent.sleep(PAUSE_SHORT if many or self._urgent() else PAUSE)
         self.exchange.drain()
 
     def _urgent(self) -> bool:
