--- a/cypressledge/fleet/zones.py
+++ b/cypressledge/fleet/zones.py
@@ -12,11 +12,11 @@
 from cypressledge import contract as c
 from cypressledge.core import Attempt, Core, Query
 from cypressledge.fleet.evidence import Evidence
-from cypressledge.fleet.judge import FADE, Judgement, Told, judge
+from cypressledge.fleet.judge import FADE, Judgement, Told, judge, judging
 from cypressledge.fleet.keeper import Granted
 from cypressledge.fleet.messages import Plan, PlanWanted, Sight, ZoneWish
-from cypressledge.fleet.shed import Arrivals, is_shed, over_part, over_shares
-from cypressledge.fleet.zoneplan import FULL, Follower, Load, Pace, Planner, Stage
+from cypressledge.fleet.shed import SPAN_S, Arrivals, is_shed, over_part, over_shares, refused
+from cypressledge.fleet.zoneplan import FULL, Follower, Load, Pace, Planner, Stage, able
 
 EVERY = 200_000  # µs between looks at what is out, and between sights that say something new
 IDLE_EVERY = 500_000  # µs between sights that say only that all is well
@@ -176,7 +176,7 @@
                 self.out(peer, sight)
         if self.waiting:
             self._wait_for_plan(now)
-        own = self._judge([self._own(sight)])
+        own = judge(*self._views([self._own(sight)]))
         if self.follower.see(now, own.zones):
             self.told("zones_left_alone", zones=sorted(self.follower.alone),
                       why="; ".join(own.zones[z].why for z in sorted(self.follower.alone)))
@@ -201,10 +201,11 @@
         if self.planner is None or self.grant is None or self.grant.token != grant.token:
             self._take_over(grant, now)
         told = self._all(now)
-        self.judgement = self._judge(told)
+        self.judgement = yield from judging(*self._views(told))
         if self.site.region:
-            self.of_regions = self._judge(told, self.site.region)
+            self.of_regions = yield from judging(*self._views(told, self.site.region))
         yield None
+        now = self.now()
         self._say_blind()
         self._adopt(told, now)
         over = over_shares(self._counts(now), self.site.quotas)
@@ -243,9 +244,29 @@
         self.told("planner", token=grant.token, number=self.planner.number)
 
     def _plan(self, grant: Granted, over: dict[str, int], now: int) -> Plan:
-        short = self.planner.short or self.regions.short
+        shed = refused(self._counts(now), over, self._excess(now))
         return Plan(grant.token, grant.run, self.planner.number + self.regions.number,
-                    self.planner.stands(now), self.regions.stands(now), over if short else {})
+                    self.planner.stands(now), self.regions.stands(now), shed)
+
+    def _excess(self, now: int) -> float:
+        """The part of all work that comes, refused or not, which zones can't bear while one is away: 0 to 1.
+
+        Without it a module that sees few engines lets ever more onto each, and nearly all is late."""
+        away = [z for p in (self.planner, self.regions) for z in p.zones.values()
+                if z.stage not in (Stage.SERVING, Stage.SUSPECT)]
+        fresh = [s for at, s in self.sights.values() if now - at < FADE]
+        answers = sum(e.ok + e.late for s in fresh for e in s.engines)
+        if not away or not answers:
+            return 0.0
+        each = sum(e.work for s in fresh for e in s.engines) / answers / 1e6
+        comes = sum(self._counts(now).values()) / SPAN_S * each
+        bears = sum(load.cores * self._can(zone, now) for zone, load in self.loads().items()) * self.pace.bear
+        return max(0.0, 1 - bears / comes) if comes else 0.0
+
+    def _can(self, name: str, now: int) -> float:
+        """The part of a zone's cores that may be reckoned with."""
+        zone, region = self.planner.zones[name], self.regions.zones.get(self.site.region.get(name, ""))
+        return min(able(z, now, self.pace) for z in (zone, region) if z is not None)
 
     def _counts(self, now: int) -> dict[str, int]:
         """Requests of each tenant at all brokers, in the time that sights cover."""
@@ -264,8 +285,8 @@
         return [Told(b, self.site.broker_zone.get(b, ""), now - at, sight)
                 for b, (at, sight) in self.sights.items()]
 
-    def _judge(self, told: list[Told], region: dict[str, str] | None = None) -> Judgement:
-        """Judge all zones; or all regions, of zones that are in one."""
+    def _views(self, told: list[Told], region: dict[str, str] | None = None) -> tuple:
+        """What is to be judged: all zones; or all regions, of zones that are in one."""
         engines, changing, clock = {}, set(), self.core.now()
         if region:
             told = [Told(t.broker, region.get(t.zone, t.zone), t.age, t.sight) for t in told]
@@ -278,7 +299,7 @@
                     engines[entry.engine] = region[zone]
                 if entry.state is not c.State.READY or clock - entry.born < CHANGING:
                     changing.add(entry.engine)
-        return judge(told, engines, frozenset(changing))
+        return told, engines, frozenset(changing)
 
     def loads(self) -> dict[str, Load]:
         """Each zone's work and cores, as the sights and the lists say."""
