Review: one formula of warming up, counts and loads reckoned once a step, twins and a dead constant out

Seen in a reading of the whole change: the warm-up's formula stood in ramp and able; the planner's step added up all sights' requests three times and the loads twice; the judgement wrote out what _good and _bad say; NEVER and ROW each stood twice; lab.zones.OTHERS was used by nobody. Behaviour is the same: the tests of zones, of the model at size, of the fleet's parts and of leases pass unchanged, and those of a reset zone and of leaving by hand on processes.

--- a/cypressledge/fleet/judge.py
+++ b/cypressledge/fleet/judge.py
@@ -104,7 +104,7 @@
 
 def _troubled(told: Told) -> bool:
     """Whether anything in a sight has failed or was late."""
-    return any(e.fails or e.late or e.silent or e.broken or e.refused for e in told.sight.engines)
+    return any(e.fails or e.late or _bad(e) for e in told.sight.engines)
 
 
 def _blind(told: list[Told], engines: dict[int, str]) -> Generator[None, None, dict[str, str]]:
@@ -123,7 +123,7 @@
     for at in range(0, len(told), CHUNK):
         for t in told[at:at + CHUNK]:
             for e in t.sight.engines:
-                if e.ok + e.late:
+                if _good(e):
                     good[e.engine].add(t.broker)
         yield None
     found = {}
@@ -174,9 +174,9 @@
         zone = engines.get(e.engine)
         if zone is None:
             continue
-        seen, good = found[zone], e.ok + e.late
+        seen, good = found[zone], _good(e)
         total, place, vouched = seen.engines[e.engine], seen.by_place[t.zone], _vouches(t, e)
-        seen.tries += good + e.refused + e.broken + e.silent
+        seen.tries += good + _bad(e)
         total.good += weight * good
         total.late += weight * e.late
         total.fails += e.fails
--- a/cypressledge/fleet/members.py
+++ b/cypressledge/fleet/members.py
@@ -11,13 +11,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cypressledge.fleet.lease import NEVER
 from cypressledge.fleet.messages import Ack, Ping, PingFor, Word
 
 ALIVE, SUSPECT, GONE = 0, 1, 2
 STATES = ("alive", "suspect", "gone")
 WORDS_MOST = 24  # words on one ping, but for the first to a broker that has just started
 FIRST_WORDS = 96  # on that first one: under a datagram's bound whatever the names
-NEVER = -(1 << 62)  # µs: before all moments; a clock may begin anywhere
 THROUGH = 3  # peers that are asked to ping another
 
 
--- a/cypressledge/fleet/zoneplan.py
+++ b/cypressledge/fleet/zoneplan.py
@@ -89,12 +89,16 @@
     return opening(engine, broker) < share
 
 
+def warmth(age: int, pace: Pace) -> float:
+    """What an engine can do that came back cold `age` µs ago, part of what it can warm."""
+    return min(1.0, pace.start + (1 - pace.start) * age / pace.warm)
+
+
 def ramp(age: int, pace: Pace, use: float = 1.0) -> int:
     """The share of a zone that came back `age` µs ago, permille: under what its engines can do by then, in
     steps, full once that is all of the work there is. `use`: the part of all cores that the fleet's work
     takes; a whole share is no more than that of the zone."""
-    can = min(1.0, pace.start + (1 - pace.start) * age / pace.warm)
-    part = min(1.0, pace.margin * can / use) if age < pace.warm * 1.25 else 1.0
+    part = min(1.0, pace.margin * warmth(age, pace) / use) if age < pace.warm * 1.25 else 1.0
     return int(part * STEP) * FULL // STEP
 
 
@@ -103,7 +107,7 @@
     if zone.stage in (Stage.SERVING, Stage.SUSPECT):
         return 1.0
     if zone.stage is Stage.RETURNING:
-        return min(1.0, pace.start + (1 - pace.start) * (now - zone.since) / pace.warm)
+        return warmth(now - zone.since, pace)
     return zone.share / FULL
 
 
--- a/cypressledge/fleet/zones.py
+++ b/cypressledge/fleet/zones.py
@@ -208,17 +208,19 @@
         now = self.now()
         self._say_blind()
         self._adopt(told, now)
-        over = over_shares(self._counts(now), self.site.quotas)
+        counts, loads = self._counts(now), self.loads()
+        over = over_shares(counts, self.site.quotas)
         short = self.planner.short or self.regions.short
-        part = 0.0 if short else over_part(self._counts(now), over)  # what is refused is not in the loads
-        loads = self.loads()
+        part = 0.0 if short else over_part(counts, over)  # what is refused is not in the loads
         changed = self.planner.step(now, self.judgement.zones, loads, part)
         if self.site.region:
             changed |= self.regions.step(now, self.of_regions.zones, self._summed(loads), part)
         self.said = 0 if changed else self.said
         if changed or now - self.said_at >= AGAIN.get(self.said, REPEAT):
             self.said_at, self.said = now, self.said + 1
-            plan = self._plan(grant, over, now)
+            shed = refused(counts, over, self._excess(counts, loads, now))
+            plan = Plan(grant.token, grant.run, self.planner.number + self.regions.number,
+                        self.planner.stands(now), self.regions.stands(now), shed)
             self._take(plan, self.name, now)
             for peer in self.peers():
                 self.out(peer, plan)
@@ -243,12 +245,7 @@
         self.grant, self.said_at = grant, 0
         self.told("planner", token=grant.token, number=self.planner.number)
 
-    def _plan(self, grant: Granted, over: dict[str, int], now: int) -> Plan:
-        shed = refused(self._counts(now), over, self._excess(now))
-        return Plan(grant.token, grant.run, self.planner.number + self.regions.number,
-                    self.planner.stands(now), self.regions.stands(now), shed)
-
-    def _excess(self, now: int) -> float:
+    def _excess(self, counts: dict[str, int], loads: dict[str, Load], now: int) -> float:
         """The part of all work that comes, refused or not, which zones can't bear while one is away: 0 to 1.
 
         Without it a module that sees few engines lets ever more onto each, and nearly all is late."""
@@ -259,8 +256,8 @@
         if not away or not answers:
             return 0.0
         each = sum(e.work for s in fresh for e in s.engines) / answers / 1e6
-        comes = sum(self._counts(now).values()) / SPAN_S * each
-        bears = sum(load.cores * self._can(zone, now) for zone, load in self.loads().items()) * self.pace.bear
+        comes = sum(counts.values()) / SPAN_S * each
+        bears = sum(load.cores * self._can(zone, now) for zone, load in loads.items()) * self.pace.bear
         return max(0.0, 1 - bears / comes) if comes else 0.0
 
     def _can(self, name: str, now: int) -> float:
--- a/cypressledge/lab/zones.py
+++ b/cypressledge/lab/zones.py
@@ -22,6 +22,7 @@
 from gevent.server import StreamServer
 
 from cypressledge.lab.demo import ask
+from cypressledge.lab.engines import ROW
 from cypressledge.lab.load import answer
 from cypressledge.lab.processes import BrokerProcess, Brokers, until
 from cypressledge.lab.relay import Relays, udp_ports
@@ -32,12 +33,10 @@
 START, WARM_S = RULES["StartCapacity"], RULES["WarmWithin"] / 1e6
 FALL, FALL_S = RULES["FallMultiple"], RULES["Fall"] / 1e6
 AIM_S, STRETCH, WAIT_S = 0.6, 1.5, 3.0  # of a lookup
-ROW = b"1\tbread\t12.5\n"
 WORK = re.compile(rb"/\* (\d+) ms \*/")
 TICK_S = 0.01
 CORES, WORK_MS = 4, 100  # of an engine; of a lookup
 KINDS = ("silent", "reset", "slow")  # how a whole zone fails
-OTHERS = ("cut", "blind", "release", "none")  # days on which no zone is to be left
 
 
 class CoreEngine:
