--- a/cypressledge/controlplane/messages.py
+++ b/cypressledge/controlplane/messages.py
@@ -1,4 +1,5 @@
-"""What control processes, brokers and operators say to each other: typed messages (msgspec, MessagePack). No I/O.
+"""What control processes, brokers and operators say to each other: typed messages (msgspec, MessagePack). No
+I/O.
 
 Frames over TCP: four bytes of length (big endian), then one message. `Change` is also what is kept on disk.
 A position is (epoch, version): the version numbers the history, the epoch is the token of the lease under
@@ -21,17 +22,17 @@
 
 
 class Op(msgspec.Struct, frozen=True, array_like=True):
-    """One key set or, with no value, removed. Keys: `config/SECTION`, `engine/NAME`, `broker/NAME`. The value is
-    the canonical encoding (`state.canonical`) of plain data."""
+    """One key set or, with no value, removed. Keys: `config/SECTION`, `engine/NAME`, `broker/NAME`. The
+    value is the canonical encoding (`state.canonical`) of plain data."""
 
     key: str
     value: bytes | None = None
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
-    """One entry of the history. `digest`: of the whole state after it. `request`: who asked for it names it, so that
-    a repeat is known; empty for what the primary does by itself. `at`: the primary's wall clock, ms: to be read by
-    people, decides nothing."""
+    """One entry of the history. `digest`: of the whole state after it. `request`: who asked for it names it,
+    so that a repeat is known; empty for what the primary does by itself. `at`: the primary's wall clock,
+    ms: to be read by people, decides nothing."""
 
     epoch: int
     version: int
@@ -52,7 +53,8 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
-    """The whole state at a position. `requests`: the last requests, oldest first, and the versions they became."""
+    """The whole state at a position. `requests`: the last requests, oldest first, and the versions they
+    became."""
 
     lineage: str
     epoch: int
@@ -65,7 +67,8 @@
 # Every connection
 
 class Hello(Message, frozen=True, tag="hello"):
-    """First frame of whoever connects. `role`: control, broker. A broker says where it is and what it holds."""
+    """First frame of whoever connects. `role`: control, broker. A broker says where it is and what it holds.
+    """
 
     format: int
     role: Literal["control", "broker"]
@@ -89,8 +92,8 @@
 
 
 class Goodbye(Message, frozen=True, tag="goodbye"):
-    """This connection ends, and why: format, lineage, ahead, full, replaced, nonsense, stopping. `after_ms`: come
-    again no sooner."""
+    """This connection ends, and why: format, lineage, ahead, full, replaced, nonsense, stopping. `after_ms`:
+    come again no sooner."""
 
     why: str
     after_ms: int = 0
@@ -111,8 +114,8 @@
 
 
 class Beat(Message, frozen=True, tag="beat"):
-    """The newest committed position that this control process knows, and how long ago it last heard of a primary
-    (-1: never), ms. Sent when nothing else was for a while."""
+    """The newest committed position that this control process knows, and how long ago it last heard of a
+    primary (-1: never), ms. Sent when nothing else was for a while."""
 
     epoch: int
     version: int
@@ -147,8 +150,8 @@
 
 
 class Promised(Message, frozen=True, tag="promised"):
-    """The promise is on disk. The newest entry that the sender holds, and the highest version that it knows to be
-    committed. `joining`: the sender has lost its disk or was put back, and does not count."""
+    """The promise is on disk. The newest entry that the sender holds, and the highest version that it knows
+    to be committed. `joining`: the sender has lost its disk or was put back, and does not count."""
 
     epoch: int
     last_epoch: int
@@ -166,8 +169,8 @@
 
 
 class Fetched(Message, frozen=True, tag="fetched"):
-    """The answer to Fetch: changes from `prev` on, or a snapshot first where those are no longer kept or `prev`
-    is not in the sender's history. `more`: ask again."""
+    """The answer to Fetch: changes from `prev` on, or a snapshot first where those are no longer kept or
+    `prev` is not in the sender's history. `more`: ask again."""
 
     epoch: int
     changes: list[Change]
@@ -194,7 +197,8 @@
 
 
 class Appended(Message, frozen=True, tag="appended"):
-    """All up to this version is on the sender's disk and matches the primary's. `joining`: does not count yet."""
+    """All up to this version is on the sender's disk and matches the primary's. `joining`: does not count
+    yet."""
 
     epoch: int
     version: int
@@ -216,8 +220,8 @@
 
 
 class Seen(Message, frozen=True, tag="seen"):
-    """A control process tells the primary what its brokers have in force: changed ones only; all of them first
-    after a connection (`all`). Version -1: no longer connected here."""
+    """A control process tells the primary what its brokers have in force: changed ones only; all of them
+    first after a connection (`all`). Version -1: no longer connected here."""
 
     all: bool
     brokers: list[tuple[str, int, int]]  # name, run, version
