--- a/cypressledge/controlplane/messages.py
+++ b/cypressledge/controlplane/messages.py
@@ -1,5 +1,4 @@
-"""What control processes, brokers and operators say to each other: typed messages (msgspec, MessagePack). No
-I/O.
+"""What control processes, brokers and operators say to each other (msgspec, MessagePack). No I/O.
 
 Frames over TCP: four bytes of length (big endian), then one message. `Change` is also what is kept on disk.
 A position is (epoch, version): the version numbers the history, the epoch is the token of the lease under
@@ -10,7 +9,7 @@
 
 import msgspec
 
-FORMAT = 1  # of this set of messages; the first frame of a connection says it, another one ends the connection
+FORMAT = 1  # of this set of messages; the first frame says it, another one ends it
 FRAME_MOST = 4 << 20  # bytes of one frame
 OPS_MOST = 2_000  # keys that one change may touch
 CHANGE_MOST = 512 << 10  # bytes of one change
@@ -140,7 +139,7 @@
     why: str
 
 
-# Between control processes. Every one of them carries the sender's epoch; an older one is answered with Denied.
+# Between control processes: each carries the sender's epoch; an older one is answered with Denied
 
 class Prepare(Message, frozen=True, tag="prepare"):
     """A new primary asks for a promise: take nothing from any epoch below this."""
@@ -233,8 +232,8 @@
     ops: list[Op]
 
 
-Messages = (Hello | Welcome | Goodbye | Deltas | Whole | Beat | Have | WholeWanted | Prepare | Promised | Fetch
-            | Fetched | Append | Install | Appended | Mismatch | Denied | Seen | Register)
+Messages = (Hello | Welcome | Goodbye | Deltas | Whole | Beat | Have | WholeWanted | Prepare | Promised
+            | Fetch | Fetched | Append | Install | Appended | Mismatch | Denied | Seen | Register)
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Messages).decode
