--- /dev/null
+++ b/cypressledge/controlplane/history.py
@@ -0,0 +1,109 @@
+"""The committed state with the last changes that made it: what followers are sent from. No I/O."""
+
+import zlib
+from collections import deque
+from itertools import islice
+
+import msgspec
+
+from cypressledge.controlplane.messages import DELTA_BYTES, FRAME_MOST, Change, Snapshot
+from cypressledge.controlplane.state import FleetState, StateError
+from cypressledge.counters import Counters
+
+CHANGES_MOST = 4_096  # changes kept
+BYTES_MOST = 4 << 20  # of changes kept
+UNPACKED_MOST = 64 << 20  # bytes of a snapshot before packing
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Snapshot).decode
+
+
+def pack(snapshot: Snapshot) -> bytes:
+    """As it goes into a frame: zlib over the encoded snapshot."""
+    return zlib.compress(_encode(snapshot), 6)
+
+
+def unpack(packed: bytes) -> Snapshot:
+    """A snapshot from a frame; its digest is checked by `FleetState.restore`. Raises `StateError`."""
+    reader = zlib.decompressobj()
+    try:
+        # Guards against a few bytes that unpack into all memory.
+        body = reader.decompress(packed, UNPACKED_MOST)
+        if not reader.eof or len(packed) > FRAME_MOST:
+            raise StateError("snapshot: cut short, or too large")
+        return _decode(body)
+    except (zlib.error, msgspec.MsgspecError, ValueError, RecursionError) as err:
+        raise StateError(f"snapshot: {err}") from None
+
+
+class History:
+    """Versions `base` to `state.version`: all that can be sent as changes."""
+
+    def __init__(self, state: FleetState, changes_most: int = CHANGES_MOST,
+                 bytes_most: int = BYTES_MOST) -> None:
+        self.changes_most, self.bytes_most = changes_most, bytes_most
+        self.counters = Counters()
+        self._begin(state)
+
+    def _begin(self, state: FleetState) -> None:
+        self.state = state
+        self.base = (state.epoch, state.version, state.digest)  # what the first change kept follows
+        self.changes: deque[tuple[Change, int]] = deque()  # and their bytes
+        self.bytes = 0
+        self._packed: tuple[tuple[int, int, bytes], bytes] | None = None
+
+    def apply(self, change: Change) -> None:
+        """Take the next committed change. Raises `StateError`, and changes nothing, where it doesn't fit."""
+        self.state.apply(change)
+        size = len(_encode(change))
+        self.changes.append((change, size))
+        self.bytes += size
+        while len(self.changes) > self.changes_most or self.bytes > self.bytes_most:
+            self._drop()
+        self.counters.invariant(self.base[1] + len(self.changes) == self.state.version, "history_whole")
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Begin again from a snapshot. Raises `StateError`, and changes nothing, where it doesn't verify."""
+        self._begin(FleetState.restore(snapshot))
+
+    def compact(self, keep: int = 0) -> None:
+        """Drop all changes but the last `keep`."""
+        while len(self.changes) > keep:
+            self._drop()
+
+    def _drop(self) -> None:
+        change, size = self.changes.popleft()
+        self.bytes -= size
+        self.base = (change.epoch, change.version, change.digest)
+
+    def at(self, version: int) -> tuple[int, int, bytes] | None:
+        """(epoch, version, digest) at a version; none where it is no longer or not yet known."""
+        index = version - self.base[1]
+        if not 0 <= index <= len(self.changes):
+            return None
+        if not index:
+            return self.base
+        change = self.changes[index - 1][0]
+        return change.epoch, change.version, change.digest
+
+    def since(self, epoch: int, version: int, digest: bytes,
+              most_bytes: int = DELTA_BYTES) -> list[Change] | None:
+        """The changes after a position, up to `most_bytes` of them but one at least; empty where there are
+        none. None: only a snapshot can follow it (too old, not yet here, or not of this history)."""
+        if self.at(version) != (epoch, version, digest):
+            return None
+        found, total = [], 0
+        for change, size in islice(self.changes, version - self.base[1], None):
+            total += size
+            if found and total > most_bytes:
+                break
+            found.append(change)
+        return found
+
+    def packed(self) -> bytes:
+        """The snapshot of now as it goes into a frame; made once a version."""
+        state = self.state
+        position = (state.epoch, state.version, state.digest)
+        if self._packed is None or self._packed[0] != position:
+            self._packed = position, pack(state.snapshot())
+        return self._packed[1]
