--- a/cypressledge/controlplane/messages.py
+++ b/cypressledge/controlplane/messages.py
@@ -91,7 +91,7 @@
 
 
 class Goodbye(Message, frozen=True, tag="goodbye"):
-    """This connection ends, and why: format, lineage, ahead, full, replaced, nonsense, stopping. `after_ms`:
+    """This connection ends, and why: format, lineage, full, replaced, silent, nonsense, stopping. `after_ms`:
     come again no sooner."""
 
     why: str
--- a/cypressledge/controlplane/state.py
+++ b/cypressledge/controlplane/state.py
@@ -86,7 +86,7 @@
     return sum(_term(e.key, e.value, e.version) for e in entries) % (1 << 128)
 
 
-def _place(key: str, value: bytes) -> tuple[str, str, int] | None:
+def place_of(key: str, value: bytes) -> tuple[str, str, int] | None:
     """(kind, host, port) of an engine's or broker's key; none for the others. Raises `StateError`."""
     kind = key.partition("/")[0]
     if kind not in _typed:
@@ -207,7 +207,7 @@
         if was and self._places.get(was) == key:
             del self._places[was]
         try:
-            place = None if value is None else _place(key, value)
+            place = None if value is None else place_of(key, value)
         except StateError:
             return
         if place:
@@ -246,6 +246,10 @@
         state.removed_since = snapshot.version  # what was removed before isn't in a snapshot
         return state
 
+    def verify(self) -> bool:
+        """Whether the entries still sum to the digest: looks at all of them; guards against spoilt memory."""
+        return _sum(self.entries.values()) == self._sum
+
     def copy(self) -> "FleetState":
         """Another state, equal to this one, that goes its own way."""
         other = FleetState(self.lineage)
@@ -319,7 +323,7 @@
 def _check_places(state: FleetState, ops: list[Op]) -> None:
     touched, places, new = {op.key for op in ops}, state.places(), {}
     for op in ops:
-        place = None if op.value is None else _place(op.key, op.value)
+        place = None if op.value is None else place_of(op.key, op.value)
         if place is None:
             continue
         other = new.get(place) or places.get(place)
