Control plane: tests of the state, the history and both ends of the distribution

Need: each rule of state.py, history.py, publisher.py and follower.py by itself, and both ends together where things go wrong.

--- a/cypressledge/controlplane/history.py
+++ b/cypressledge/controlplane/history.py
@@ -29,7 +29,7 @@
     try:
         # Guards against a few bytes that unpack into all memory.
         body = reader.decompress(packed, UNPACKED_MOST)
-        if not reader.eof or len(packed) > FRAME_MOST:
+        if not reader.eof or reader.unused_data or len(packed) > FRAME_MOST:
             raise StateError("snapshot: cut short, or too large")
         return _decode(body)
     except (zlib.error, msgspec.MsgspecError, ValueError, RecursionError) as err:
--- /dev/null
+++ b/tests/test_controlplane_follow.py
@@ -0,0 +1,608 @@
+"""How brokers follow the history: each rule by itself, then both sides in a small world that goes wrong."""
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cypressledge.controlplane import messages as m
+from cypressledge.controlplane.follower import SILENT, Follower, Server, order
+from cypressledge.controlplane.history import History, pack
+from cypressledge.controlplane.publisher import Limits, Publisher
+from cypressledge.controlplane.state import Broker, Engine, FleetState, canonical
+
+S = 1_000_000  # µs
+
+
+def grow(history: History, count: int = 1, epoch: int = 1) -> None:
+    for _ in range(count):
+        n = history.state.version + 1
+        ops = [m.Op(f"engine/e{n % 7}", canonical(Engine(f"h{n}:1")) if n % 5 else None)]
+        history.apply(history.state.draft(epoch, ops, request=f"r{n}"))
+
+
+def where(state: FleetState) -> tuple:
+    return state.epoch, state.version, state.digest
+
+
+class Desk:
+    """A publisher and what it says."""
+
+    def __init__(self, versions: int = 3, **limits) -> None:
+        self.history = History(FleetState("line"))
+        grow(self.history, versions)
+        self.sent, self.ended, self.events = defaultdict(list), {}, []
+        self.publisher = Publisher("c1", 7, self.history, Limits(**limits),
+                                   lambda conn, msg: self.sent[conn].append(msg), self.ended.__setitem__,
+                                   lambda name, **what: self.events.append(name))
+
+    def hello(self, conn: int, position: tuple = (0, 0, b""), now: int = 0, **more) -> list:
+        lineage = "line" if position[1] else ""
+        told = dict(format=m.FORMAT, role="broker", name=f"b{conn}", run=1, lineage=lineage,
+                    epoch=position[0], version=position[1], digest=position[2]) | more
+        self.publisher.connected(now, conn, m.Hello(**told))
+        return self.sent[conn]
+
+    def have(self, conn: int, now: int = 0, position: tuple | None = None) -> None:
+        self.publisher.received(now, conn, m.Have(*(position or where(self.history.state))))
+
+    def whole(self, conn: int) -> bool:
+        return any(isinstance(msg, m.Whole) for msg in self.sent[conn])
+
+
+def test_publisher_sends_changes_or_a_snapshot_and_one_at_a_time():
+    desk = Desk()
+    welcome, beat, whole = desk.hello(1)
+    assert welcome == m.Welcome("c1", 7, "line") and beat.silent_ms == -1 and isinstance(whole, m.Whole)
+    welcome, beat, deltas = desk.hello(2, desk.history.at(1))
+    assert [c.version for c in deltas.changes] == [2, 3]
+    grow(desk.history, 2)
+    desk.publisher.committed(0)
+    assert len(desk.sent[2]) == 3  # the first is still out
+    desk.have(2, position=desk.history.at(3))
+    assert [c.version for c in desk.sent[2][3].changes] == [4, 5]
+    desk.publisher.received(0, 2, m.WholeWanted("digest"))
+    assert isinstance(desk.sent[2][4], m.Whole) and "whole_wanted" in desk.events
+    desk.have(2)
+    assert desk.publisher.in_force() == {"b1": (1, 0), "b2": (1, 5)} and len(desk.sent[2]) == 5
+    assert len(desk.hello(3, where(desk.history.state))) == 2  # has all
+    desk.history.compact()
+    assert isinstance(desk.hello(4, (1, 4, b"x" * 16))[2], m.Whole)
+    assert "digest_differs" not in desk.events
+    assert isinstance(desk.hello(5, (1, 5, b"x" * 16))[2], m.Whole) and "digest_differs" in desk.events
+    assert len(Desk(versions=0).hello(1)) == 2  # nothing to send yet
+
+
+def test_publisher_does_not_repeat_what_was_turned_down():
+    desk = Desk()
+    first = desk.history.at(1)
+    desk.hello(1, first)
+    desk.have(1, position=first)  # changes not taken: a snapshot
+    assert isinstance(desk.sent[1][-1], m.Whole)
+    desk.have(1, position=first)  # nor that: nothing before there is news
+    desk.publisher.committed(0)
+    assert isinstance(desk.sent[1][-1], m.Whole) and len(desk.sent[1]) == 4 and "whole_refused" in desk.events
+    grow(desk.history)
+    desk.publisher.committed(0)
+    assert isinstance(desk.sent[1][-1], m.Deltas)
+
+
+@pytest.mark.parametrize(("more", "why"), [
+    ({"format": 99}, "format"), ({"role": "control"}, "nonsense"), ({"name": "-"}, "nonsense"),
+    ({"lineage": "other", "epoch": 1, "version": 1, "digest": b"x" * 16}, "lineage"),
+    ({"version": 5}, "nonsense"), ({"lineage": "line", "version": 5, "digest": b"x"}, "nonsense")])
+def test_publisher_turns_away_who_does_not_fit(more, why):
+    desk = Desk()
+    desk.hello(1, **more)
+    assert desk.ended[1].why == why and not desk.publisher.followers and f"ended_{why}" in desk.events
+
+
+@pytest.mark.parametrize("message", [
+    m.Beat(1, 1, b"", "", 0), m.Have(1, 3, b""), m.WholeWanted("x"), m.Goodbye("x")])
+def test_publisher_ends_nonsense(message):
+    desk = Desk()
+    desk.hello(1, where(desk.history.state))
+    desk.publisher.received(0, 1, message)
+    assert desk.ended[1].why == "nonsense"
+    desk.publisher.received(0, 1, message)  # what was under way already
+    desk.publisher.gone(0, 1)
+
+
+def test_publisher_replaces_refuses_when_full_and_says_who_is_here():
+    desk = Desk(followers_most=2)
+    desk.hello(1)
+    desk.hello(2)
+    assert desk.publisher.seen(False) == m.Seen(False, [("b1", 1, 0), ("b2", 1, 0)])
+    desk.hello(3)
+    assert desk.ended[3].why == "full" and desk.ended[3].after_ms > 0
+    desk.hello(4, name="b1", run=9)
+    assert desk.ended[1].why == "replaced" and desk.publisher.in_force()["b1"] == (9, 0)
+    desk.have(2)
+    assert desk.publisher.seen(False) == m.Seen(False, [("b1", 9, 0), ("b2", 1, 3)])
+    assert desk.publisher.seen(False) is None
+    desk.publisher.gone(0, 2)
+    assert desk.publisher.seen(False) == m.Seen(False, [("b2", 0, -1)])
+    assert desk.publisher.seen(True) == m.Seen(True, [("b1", 9, 0)])
+    desk.publisher.stop()
+    assert desk.ended[4].why == "stopping" and desk.publisher.seen(True) == m.Seen(True, [])
+
+
+def test_publisher_bounds_names_nobody_asks_for():
+    desk = Desk(followers_most=1)
+    for conn in range(20):
+        desk.hello(conn)
+        desk.publisher.gone(0, conn)
+        assert len(desk.publisher._changed) <= 4
+    assert desk.publisher.seen(False) == m.Seen(True, [])
+
+
+def test_publisher_ends_the_silent_and_beats():
+    desk = Desk()
+    desk.hello(1)
+    desk.hello(2, where(desk.history.state))
+    desk.publisher.primary(S // 2, "c3")
+    now = 0
+    while now < 11 * S:
+        now = desk.publisher.tick(now)
+    beats = [b for b in desk.sent[2] if isinstance(b, m.Beat)]
+    assert desk.ended[1].why == "silent" and 2 not in desk.ended and 10 <= len(beats) <= 12
+    assert beats[-1].primary == "c3" and beats[-1].silent_ms >= 9_000
+    assert desk.publisher.ration.out == 0
+
+
+def test_publisher_rations_snapshots_in_line():
+    desk = Desk(wholes_at_once=2, wholes_per_s=3)
+    for conn in range(6):
+        desk.hello(conn)
+    assert [desk.whole(conn) for conn in range(6)] == [True, True, False, False, False, False]
+    desk.have(0)  # gives the third, the last of this second
+    desk.have(1)
+    assert [desk.whole(conn) for conn in range(6)] == [True, True, True, False, False, False]
+    desk.publisher.gone(0, 3)
+    assert list(desk.publisher.waiting) == [4, 5]
+    desk.publisher.tick(S - 1)
+    assert not desk.whole(4)
+    desk.publisher.tick(S)
+    assert desk.whole(4) and not desk.whole(5)
+    desk.publisher.gone(S, 4)
+    assert desk.whole(5) and not desk.publisher.waiting
+
+
+def test_publisher_behind_a_broker_waits_and_says_so_once():
+    desk = Desk()
+    ahead = Desk(versions=5)
+    sent = desk.hello(1, where(ahead.history.state))
+    assert len(sent) == 2 and isinstance(sent[1], m.Beat)
+    for now in range(S, 9 * S, S):
+        desk.publisher.tick(now)
+    assert desk.events.count("broker_ahead") == 1 and not desk.ended
+    grow(desk.history, 3)
+    desk.publisher.committed(9 * S)
+    assert [c.version for c in desk.sent[1][-1].changes] == [6]
+
+
+def test_publisher_put_back_sends_nobody_in_line_an_older_snapshot():
+    desk, older = Desk(wholes_at_once=1), Desk(versions=1).history.state.snapshot()
+    desk.hello(1)
+    desk.hello(2, (1, 3, b"x" * 16))
+    desk.history.reset(older)
+    desk.publisher.committed(0)
+    desk.publisher.gone(0, 1)
+    assert not desk.whole(2) and not desk.publisher.waiting
+
+
+def test_publisher_registers_who_moved():
+    desk = Desk()
+    for conn, address in enumerate(["h:1", "h:2", "", "bad"]):
+        desk.hello(conn, address=address, zone="z", region="r")
+    state = desk.history.state
+    ops = desk.publisher.registrations(state)
+    assert [op.key for op in ops] == ["broker/b0", "broker/b1"] and "bad_address" in desk.events
+    desk.history.apply(state.draft(1, [ops[0], m.Op("broker/b1", canonical(Broker("h:2", "y", "r")))]))
+    assert [op.key for op in desk.publisher.registrations(state)] == ["broker/b1"]
+
+
+class Seat:
+    """A follower and what it does."""
+
+    def __init__(self, servers: int = 1, **more) -> None:
+        self.said, self.tried, self.ended, self.took, self.events = [], [], [], [], []
+        near = [Server(f"c{i}", f"c{i}:1", "" if i else "z", "r" if i < 2 else "") for i in range(servers)]
+        self.follower = Follower("b1", 3, near, "z", "r", 5, "b1:1", self.said.append,
+                                 self.tried.append, self.ended.append,
+                                 lambda state, change: self.took.append(change),
+                                 lambda name, **what: self.events.append(name), **more)
+
+    def greet(self, now: int = 0, lineage: str = "line") -> "Seat":
+        """Wait until it connects; let it."""
+        while self.follower.phase.value != "connecting":
+            now = max(now, self.follower.tick(now))
+        self.follower.up(now)
+        self.follower.received(now, m.Welcome("c", 1, lineage))
+        self.now = now
+        return self
+
+    def take(self, *messages) -> object:
+        """What it last said to them."""
+        for message in messages:
+            self.follower.received(self.now, message)
+        return self.said[-1]
+
+    def counts(self, name: str) -> int:
+        return self.follower.counters.counts[name]
+
+
+def after(history: History, version: int) -> list:
+    return history.since(*history.at(version))
+
+
+def test_order_is_zone_region_then_by_hash():
+    servers = [Server(f"c{i}", "", z, r) for i, (z, r) in enumerate(["xp", "zr", "yr", "zr", "xp", "yr"])]
+    found = [order(f"b{i}", "z", "r", servers) for i in range(64)]
+    assert {tuple(s.zone for s in one) for one in found} == {("z", "z", "y", "y", "x", "x")}
+    assert 20 < sum(one[0].name == "c1" for one in found) < 44
+
+
+def test_follower_takes_a_snapshot_and_what_follows():
+    desk, seat = Desk(), Seat().greet()
+    assert seat.said[0] == m.Hello(m.FORMAT, "broker", "b1", 3, address="b1:1", zone="z", region="r")
+    whole = m.Whole(desk.history.packed())
+    assert seat.take(whole) == m.Have(*where(desk.history.state)) and seat.took == [None]
+    grow(desk.history, 2)
+    assert seat.take(m.Deltas(after(desk.history, 3))).version == 5 and len(seat.took) == 3
+    seat.follower.down(seat.now, "reset")
+    seat.greet(seat.now)
+    assert seat.said[-1].version == 5 and seat.said[-1].lineage == "line"
+    status = seat.follower.status(seat.now)
+    assert status["version"] == 5 and status["counts"]["changes_taken"] == 2 and status["server"] == "c0"
+
+
+def test_follower_never_goes_back():
+    desk, seat = Desk(versions=4), Seat().greet()
+    old = Desk(versions=2)
+    seat.take(m.Whole(desk.history.packed()))
+    held = m.Have(*where(desk.history.state))
+    assert seat.take(m.Deltas(after(desk.history, 2))) == held and seat.counts("turned_down") == 2
+    assert seat.take(m.Whole(old.history.packed())) == held and seat.counts("turned_down") == 3
+    below = desk.history.state.copy()
+    change = below.draft(1, [])
+    low = m.Change(0, 5, [], change.digest)
+    assert seat.take(m.Deltas([low])) == held and seat.counts("turned_down") == 4
+    assert seat.take(m.Whole(desk.history.packed())) == held and seat.took == [None]
+    assert seat.take(m.Deltas([m.Change(1, 6, [], change.digest)])) == m.WholeWanted("gap")
+    assert where(seat.follower.state) == where(desk.history.state)
+
+
+def test_follower_keeps_what_it_had_where_a_digest_differs():
+    desk, seat = Desk(), Seat().greet()
+    assert seat.take(m.Deltas(after(desk.history, 0))) == m.WholeWanted("gap")  # holds nothing
+    seat.take(m.Whole(desk.history.packed()))
+    held = where(seat.follower.state)
+    grow(desk.history)
+    good = desk.history.changes[-1][0]
+    assert seat.take(m.Deltas([m.Change(1, 4, good.ops, b"x" * 16)])) == m.WholeWanted("digest")
+    assert where(seat.follower.state) == held and seat.counts("delta_differs") == 1
+    assert seat.take(m.Whole(desk.history.packed())).version == 4
+
+
+def other_at(epoch: int, version: int) -> FleetState:
+    state = FleetState("line")
+    for n in range(version):
+        state.apply(state.draft(epoch, [m.Op("config/Other", canonical(n))]))
+    return state
+
+
+def test_follower_at_one_version_with_two_digests():
+    desk, seat = Desk(), Seat().greet()
+    seat.take(m.Whole(desk.history.packed()))
+    held = where(desk.history.state)
+    assert seat.take(m.Whole(pack(other_at(1, 3).snapshot()))) == m.Have(*held)  # who is right isn't known
+    assert seat.counts("digest_differs") == 1 and seat.counts("turned_down") == 1
+    assert seat.take(m.Whole(pack(other_at(0, 3).snapshot()))) == m.Have(*held)  # below
+    above = other_at(2, 3)
+    assert seat.take(m.Whole(pack(above.snapshot()))) == m.Have(*where(above))
+    seat.follower.state.entries.clear()  # memory spoilt
+    same = other_at(2, 3)
+    assert seat.take(m.Whole(pack(same.snapshot()))) == m.Have(*where(same))
+    assert seat.counts("own_state_spoilt") == 1 and seat.follower.state.verify()
+    for _ in range(2):
+        seat.take(m.Beat(2, 3, b"x" * 16, "c", 0))
+    assert seat.counts("digest_differs") == 3  # a beat that differs: once a version
+
+
+def test_follower_leaves_bad_snapshots_other_lineages_and_nonsense():
+    good = Desk().history.state.snapshot()
+    bad = m.Snapshot("line", 1, 3, b"x" * 16, good.entries, [])
+    other = Desk().history.state.copy()
+    other.lineage = "other"
+    wholes = [m.Whole(packed) for packed in (b"x", pack(bad), pack(other.snapshot()))]
+    for message in (*wholes, m.Welcome("c", 1, "line"), m.Have(1, 1, b""), m.Goodbye("stopping")):
+        seat = Seat(servers=2, lineage="line").greet()
+        seat.take(message)
+        assert len(seat.ended) == 1 and not seat.took and seat.follower.current == 1
+    seat = Seat(servers=2, lineage="line").greet(lineage="other")
+    assert seat.ended == ["lineage"]
+    seat = Seat().greet()
+    seat.take(m.Whole(pack(good)))
+    seat.follower.down(seat.now, "x")
+    seat.greet(seat.now, "other")
+    assert seat.ended == ["lineage"] and where(seat.follower.state)[1] == 3
+
+
+def test_follower_waits_longer_each_time_and_honours_refusals():
+    seat, now, tries = Seat(servers=3), 0, []
+    for _ in range(300):
+        due = seat.follower.tick(now)
+        if len(seat.tried) > len(tries):
+            tries.append(now)
+            seat.follower.down(now, "refused")
+        else:
+            now = due
+    gaps = [b - a for a, b in itertools.pairwise(tries)]
+    assert all(gap <= min(0.1 * S * 2 ** i, 5 * S) for i, gap in enumerate(gaps)) and len(gaps) > 100
+    assert max(gaps[10:]) > 4 * S and min(gaps[10:]) < S
+    assert [s.name for s in seat.tried[:4]] == ["c0", "c1", "c2", "c0"]
+    seat = Seat().greet()
+    seat.take(m.Goodbye("full", 7_000))
+    assert 7 * S <= seat.follower.tick(seat.now) - seat.now <= 9 * S
+    seat = Seat(servers=2).greet()
+    seat.take(m.Goodbye("full", 7_000))
+    seat.greet(seat.now)
+    seat.follower.down(seat.now, "x")
+    assert seat.follower.tick(seat.now) - seat.now <= S and seat.follower.current == 1  # c0 said 7 s
+
+
+def test_a_connection_that_held_makes_the_waits_short_again():
+    seat = Seat()
+    for held in [0] * 8 + [5 * S] * 8:
+        seat.greet(seat.now if seat.said else 0)
+        seat.follower.down(seat.now + held, "reset")
+        wait = seat.follower.tick(seat.now + held) - seat.now - held
+        if held:
+            assert wait <= S // 10
+    assert Follower("b", 1, [], "", "", 1, "", None, None, None, None, None).tick(0) > S  # nobody to follow
+
+
+def test_follower_leaves_the_silent_and_times_out():
+    seat = Seat(servers=2)
+    now = seat.follower.tick(0)
+    due = seat.follower.tick(now)
+    assert due - now == 1.5 * S and seat.tried[0].name == "c0"
+    seat.follower.tick(due)
+    assert seat.ended == ["connect timeout"]
+    seat.greet(due)
+    assert seat.tried[1].name == "c1"
+    seat.follower.tick(seat.now + SILENT - 1)
+    assert len(seat.ended) == 1
+    seat.follower.tick(seat.now + SILENT)
+    assert seat.ended[1:] == ["silent"]
+
+
+def test_follower_goes_home_and_back_where_home_fails():
+    seat = Seat(servers=3)
+    now = seat.follower.tick(0)
+    seat.follower.tick(now)
+    seat.follower.down(now, "refused")
+    seat.greet(now)
+    assert seat.tried[-1].name == "c1"
+    start, waits = seat.now, []
+    for _ in range(2):
+        while seat.tried[-1].name == "c1":
+            due = seat.follower.tick(seat.now)
+            seat.now = min(max(due, seat.now), seat.now + S)
+            if seat.follower.phase.value == "following":
+                seat.follower.received(seat.now, m.Beat(0, 0, b"", "", 0))
+        waits.append(seat.now - start)
+        assert seat.ended[-1] == "home"
+        seat.follower.down(seat.now, "refused")
+        seat.greet(seat.now)
+        start = seat.now
+        assert seat.tried[-1].name == "c1"
+    assert 20 * S <= waits[0] <= 41 * S and 40 * S <= waits[1] <= 82 * S  # longer after each failed try
+
+
+def test_follower_says_how_stale_it_is():
+    seat = Seat(servers=2).greet()
+    assert seat.follower.stale_ms(seat.now + 2 * S) >= 2_000
+    seat.take(m.Beat(0, 0, b"", "c3", 400))
+    assert seat.follower.stale_ms(seat.now) == 400
+    seat.take(m.Beat(0, 0, b"", "c3", 9_000))  # another that heard less takes nothing back
+    seat.take(m.Beat(0, 0, b"", "c3", -1))
+    seat.follower.down(seat.now, "reset")
+    assert seat.follower.stale_ms(seat.now + S) == 1_400
+
+
+class World:
+    """Control processes and brokers over connections that delay, go dark and break, in virtual time."""
+
+    def __init__(self, seed: int, sites: int = 3, brokers: int = 4) -> None:
+        self.random, self.now, self.heap, self.order = random.Random(seed), 0, [], itertools.count()
+        self.log: list[m.Change] = []
+        self.truth = FleetState("line")
+        self.digests = {0: self.truth.digest}
+        self.conns: dict[int, dict] = {}  # id -> site, broker, the last arrival each way, what is out
+        self.ids = itertools.count(1)
+        self.spoil = 0
+        self.sites = [self._site(i, History(FleetState("line"))) for i in range(sites)]
+        self.brokers = [self._broker(i, 0) for i in range(brokers)]
+        self.events: set[str] = set()
+
+    def _site(self, i: int, history: History) -> Publisher:
+        limits = Limits(answer_s=2.0, wholes_at_once=2, wholes_per_s=5, followers_most=3,
+                        full_after_ms=500)
+        return Publisher(f"c{i}", next(self.ids), history, limits, self._to_broker, self._goodbye,
+                         self._event)
+
+    def _event(self, name: str, **what) -> None:
+        self.events.add(name)
+
+    def _broker(self, i: int, life: int) -> Follower:
+        servers = [Server(f"c{k}", f"c{k}:1", f"z{k % 2}", "r") for k in range(3)]
+        seen = [(0, 0)]
+
+        def changed(state: FleetState, change) -> None:
+            assert state.epoch >= seen[-1][0] and state.version > seen[-1][1], "went back"
+            assert state.digest == self.digests[state.version] and state.verify(), "not the history's"
+            seen.append(state.position)
+
+        def end(why: str) -> None:
+            self._cut(i)
+
+        return Follower(f"b{i}", life, servers, f"z{i % 2}", "r", self.random.randrange(1 << 30), "",
+                        lambda msg: self._to_site(i, msg), lambda server: self._dial(i, server), end, changed,
+                        self._event)
+
+    def later(self, delay: int, act, *args) -> None:
+        heapq.heappush(self.heap, (self.now + delay, next(self.order), act, args))
+
+    def _link(self, i: int):
+        return next(((c, link) for c, link in self.conns.items() if link["broker"] == i), (0, None))
+
+    def _cut(self, i: int) -> None:
+        """The broker's side is closed at once; the site hears of it later."""
+        conn, link = self._link(i)
+        if link:
+            del self.conns[conn]
+            self.later(self.random.randrange(S), self.sites[link["site"]].gone, self.now, conn)
+
+    def _dial(self, i: int, server: Server) -> None:
+        assert self._link(i)[1] is None, "two connections of one broker"
+        conn, site = next(self.ids), int(server.name[1:])
+        self.conns[conn] = dict(site=site, broker=i, dark=False, there=0, back=0, out=0, hello=False)
+        self.later(self.random.randrange(S // 10), self._up, conn)
+
+    def _up(self, conn: int) -> None:
+        if conn in self.conns:
+            self.brokers[self.conns[conn]["broker"]].up(self.now)
+
+    def _frame(self, conn: int, way: str, msg: m.Message, act) -> None:
+        link = self.conns.get(conn)
+        if link and not link["dark"]:
+            link[way] = max(link[way], self.now + self.random.randrange(S // 5))
+            self.later(link[way] - self.now, act, conn, m.decode(m.encode(msg)[4:]))
+
+    def _to_site(self, i: int, msg: m.Message) -> None:
+        self._frame(self._link(i)[0], "there", msg, self._at_site)
+
+    def _at_site(self, conn: int, msg: m.Message) -> None:
+        link = self.conns.get(conn)
+        if not link:
+            return
+        link["out"] = max(link["out"] - isinstance(msg, m.Have | m.WholeWanted), 0)
+        hello, link["hello"] = not link["hello"], True
+        site = self.sites[link["site"]]
+        site.connected(self.now, conn, msg) if hello else site.received(self.now, conn, msg)
+
+    def _to_broker(self, conn: int, msg: m.Message) -> None:
+        link = self.conns.get(conn)
+        if link and isinstance(msg, m.Deltas | m.Whole):
+            link["out"] += 1
+            assert link["out"] <= 1, "more than one message out"
+            if self.spoil:
+                self.spoil -= 1
+                msg = self._spoilt(msg)
+        self._frame(conn, "back", msg, self._at_broker)
+
+    def _spoilt(self, msg: m.Message) -> m.Message:
+        if isinstance(msg, m.Whole):
+            cut = self.random.randrange(len(msg.packed))
+            return m.Whole(msg.packed[:cut] + b"\x55" + msg.packed[cut + 1:][:-1])
+        *rest, last = msg.changes
+        bad = m.Change(last.epoch, last.version, [m.Op("engine/bad", b"\x01")], last.digest)
+        return m.Deltas([*rest, bad])
+
+    def _at_broker(self, conn: int, msg: m.Message) -> None:
+        if conn in self.conns:
+            self.brokers[self.conns[conn]["broker"]].received(self.now, msg)
+
+    def _goodbye(self, conn: int, goodbye: m.Goodbye) -> None:
+        self._frame(conn, "back", goodbye, self._at_broker)
+        self.later(S // 2, self._down, conn)
+
+    def _down(self, conn: int) -> None:
+        link = self.conns.pop(conn, None)
+        if link:
+            self.brokers[link["broker"]].down(self.now, "reset")
+
+    def run(self, span: int) -> None:
+        end = self.now + span
+        while True:
+            due = [site.tick(self.now) for site in self.sites] + [b.tick(self.now) for b in self.brokers]
+            self.now = max(self.now, min(due + [event[0] for event in self.heap[:1]]))
+            if self.now > end:
+                self.now = end
+                return
+            while self.heap and self.heap[0][0] <= self.now:
+                act, args = heapq.heappop(self.heap)[2:]
+                act(*args)
+
+    def commit(self, n: int, epoch_step: int) -> None:
+        """The history grows; each control process learns of it when it catches up."""
+        for _ in range(n):
+            v = self.truth.version + 1
+            ops = [m.Op(f"engine/e{v % 5}", canonical(Engine(f"h{v}:1")) if v % 4 else None)]
+            change = self.truth.draft(self.truth.epoch + epoch_step, ops, request=f"r{v}")
+            epoch_step = 0
+            self.truth.apply(change)
+            self.log.append(change)
+            self.digests[v] = change.digest
+
+    def catch_up(self, i: int, most: int) -> None:
+        site = self.sites[i]
+        for change in self.log[site.history.state.version:][:most]:
+            site.history.apply(change)
+        site.primary(self.now, "c0")
+        site.committed(self.now)
+
+    def fault(self, kind: str, n: int) -> None:
+        site, broker = n % len(self.sites), n % len(self.brokers)
+        conn, link = self._link(broker)
+        if kind == "break" and link:
+            self.later(0, self._down, conn)
+            self.later(S // 3, self.sites[link["site"]].gone, self.now, conn)
+        elif kind == "dark" and link:
+            link["dark"] = True
+        elif kind == "new broker":
+            self._cut(broker)
+            self.brokers[broker] = self._broker(broker, n)
+        elif kind == "new site":
+            for c in [c for c, held in self.conns.items() if held["site"] == site]:
+                self._down(c)
+            history = History(FleetState.restore(self.sites[site].history.state.snapshot()))
+            self.sites[site] = self._site(site, history)
+        elif kind == "compact":
+            self.sites[site].history.compact(keep=n % 3)
+        elif kind == "spoil":
+            self.spoil += 1
+
+
+FAULTS = ["break", "dark", "new broker", "new site", "compact", "spoil", "none"]
+_steps = st.lists(st.tuples(st.sampled_from(FAULTS), st.integers(0, 11), st.integers(0, 4), st.integers(0, 1),
+                            st.integers(0, 2), st.integers(0, 3), st.integers(0, 4 * S)), max_size=25)
+
+
+@given(st.integers(0, 1 << 30), _steps)
+@settings(max_examples=60, derandomize=True, deadline=None)
+def test_no_broker_goes_back_and_all_end_equal_to_the_history(seed, steps):
+    world = World(seed)
+    for kind, n, commits, epoch, site, most, span in steps:
+        world.commit(commits, epoch)
+        world.catch_up(site, most)
+        world.fault(kind, n)
+        world.run(span)
+    world.spoil = 0
+    world.commit(1, 1)
+    for site in range(3):
+        world.catch_up(site, len(world.log))
+    world.run(40 * S)
+    want = where(world.truth)
+    assert [where(b.state) for b in world.brokers] == [want] * 4
+    assert all(b.state.snapshot() == world.truth.snapshot() for b in world.brokers)
+    held = {name: v for site in world.sites for name, (_, v) in site.in_force().items()}
+    assert held == {f"b{i}": want[1] for i in range(4)}
+    assert sum(site.ration.out for site in world.sites) == 0
+    assert max(b.stale_ms(world.now) for b in world.brokers) <= 42_000
--- /dev/null
+++ b/tests/test_controlplane_state.py
@@ -0,0 +1,226 @@
+"""The fleet's state and its history: what a change may do, what is refused, and what can be sent."""
+
+import zlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cypressledge.controlplane import history as h
+from cypressledge.controlplane import state as s
+from cypressledge.controlplane.messages import CHANGE_MOST, OPS_MOST, Change, Entry, Op, Snapshot
+from cypressledge.lab.site import SETTINGS
+
+SECTIONS = [Op(f"config/{name}", s.canonical(value)) for name, value in SETTINGS.items()]
+
+
+def engine(name: str, address: str, **more) -> Op:
+    return Op(f"engine/{name}", s.canonical(s.Engine(address, **more)))
+
+
+def broker(name: str, address: str) -> Op:
+    return Op(f"broker/{name}", s.canonical(s.Broker(address)))
+
+
+def grow(state, *ops, epoch=1, **more) -> Change:
+    s.check(state, list(ops))
+    change = state.draft(epoch, list(ops), **more)
+    state.apply(change)
+    return change
+
+
+def filled() -> s.FleetState:
+    state = s.FleetState("line")
+    grow(state, *SECTIONS)
+    grow(state, engine("e1", "10.0.0.1:9000"), engine("e2", "10.0.0.2:9000"), broker("b1", "10.0.1.1:7400"))
+    return state
+
+
+def test_one_encoding_for_equal_data():
+    assert s.canonical({"b": 1, "a": [2.5, None]}) == s.canonical({"a": [2.5, None], "b": 1})
+    as_dict = {"zone": "", "state": "ready", "kind": "", "cell": 0, "born_ms": 0, "address": "a:1"}
+    assert s.canonical(s.Engine("a:1")) == s.canonical(as_dict)
+    assert s.plain(s.canonical({"a": [1, {"x": "y"}]})) == {"a": [1, {"x": "y"}]}
+    for bad in (object(), 1 << 70, {1: 2, "a": 3}):
+        with pytest.raises(s.StateError):
+            s.canonical(bad)
+    with pytest.raises(s.StateError):
+        s.plain(b"\xc1")
+
+
+def test_reads_what_was_set():
+    state = filled()
+    assert state.config() == SETTINGS and state.position == (1, 2)
+    assert state.engines()["e2"] == s.Engine("10.0.0.2:9000")
+    assert state.brokers() == {"b1": s.Broker("10.0.1.1:7400")}
+
+
+_ops = st.dictionaries(st.sampled_from([f"engine/{n}" for n in "abcdef"]),
+                       st.one_of(st.none(), st.integers(0, 3).map(s.canonical)), max_size=4)
+
+
+@given(st.lists(_ops, max_size=12))
+def test_digest_kept_up_is_the_digest_of_the_whole(steps):
+    state = s.FleetState("line")
+    for i, step in enumerate(steps):
+        before = state.snapshot()
+        change = state.draft(i, [Op(k, v) for k, v in step.items()], request=f"r{i}")
+        assert state.snapshot() == before
+        state.apply(change)
+        again = s.FleetState.restore(h.unpack(h.pack(state.snapshot())))
+        assert again.snapshot() == state.snapshot() and state.verify()
+        assert state.size == again.size and again.requested(f"r{i}") == state.version
+
+
+def test_a_change_that_does_not_fit_changes_nothing():
+    state = filled()
+    good = state.draft(2, [engine("e3", "10.0.0.3:9000")])
+    before = state.snapshot()
+    many = [Op(f"engine/n{i}", b"\x01") for i in range(OPS_MOST + 1)]
+    for bad in (Change(2, 4, good.ops, good.digest), Change(2, 2, good.ops, good.digest),
+                Change(0, 3, good.ops, good.digest), Change(2, 3, good.ops, b"\0" * 16),
+                Change(2, 3, [engine("e3", "10.0.0.4:9000")], good.digest), Change(2, 3, many, good.digest),
+                Change(2, 3, [Op("engine/e3", b"\0" * CHANGE_MOST)], good.digest),
+                Change(2, 3, good.ops * 2, good.digest), Change(2, 3, good.ops, good.digest, "r" * 600)):
+        with pytest.raises(s.StateError) as told:
+            state.apply(bad)
+        assert "\n" not in str(told.value) and state.snapshot() == before
+    state.apply(good)
+    assert state.position == (2, 3)
+    with pytest.raises(s.StateError):
+        state.draft(1, [])
+
+
+@pytest.mark.parametrize(("ops", "says"), [
+    ([Op("engine/-x", b"\x01")], "no key"), ([Op("other/x", b"\x01")], "no key"),
+    ([Op("engine/x\n", None)], "no key"), ([Op("config/A", b"\x01"), Op("config/A", None)], "twice"),
+    ([Op("engine/x", b"\xc1")], "not MessagePack"), ([Op("engine/x", s.canonical({}))], "address"),
+    ([Op("engine/x", s.canonical({"address": "a:1", "colour": 1}))], "colour"),
+    ([engine("x", "nowhere")], "HOST:PORT"), ([engine("x", ":80")], "HOST:PORT"),
+    ([engine("x", "a:0")], "HOST:PORT"), ([engine("x", "a:²")], "engine/x"),
+    ([engine("x", "a:1", state="gone")], "state"), ([engine("x", "a:1", cell=-1)], "cell"),
+    ([Op("engine/x", b"\x82\xa4zone\xa0\xa7address\xa3a:1")], "canonical"),
+    ([engine("x", "10.0.0.1:09000")], "at the address of engine/e1"),
+    ([engine("x", "A:1"), engine("y", "a:1")], "at the address of engine/x"),
+    ([broker("x", "10.0.1.1:7400")], "at the address of broker/b1"),
+    ([Op("config/Rules", None)], "Rules"), ([Op("config/Classes", s.canonical([]))], "config"),
+    ([Op("config/Rules", s.canonical(SETTINGS["Rules"] | {"StartCapacity": 2.0}))], "config"),
+    ([Op("config/Extra", s.canonical(float("nan")))], "config"),
+    ([Op("config/Dcs", s.canonical(["a", "a"]))], "twice"),
+    ([Op("config/Limits", s.canonical(SETTINGS["Limits"] | {"ConnIdle": 0}))], "limit"),
+    ([Op(f"engine/n{i}", None) for i in range(OPS_MOST + 1)], "keys in one change"),
+    ([Op("config/Extra", s.canonical("x" * CHANGE_MOST))], "bytes")])
+def test_what_is_refused_before_it_is_taken(ops, says):
+    with pytest.raises(s.StateError, match=says) as told:
+        s.check(filled(), ops)
+    assert "\n" not in str(told.value)
+
+
+def test_what_is_taken():
+    state = filled()
+    s.check(state, [])
+    grow(state, engine("e1", "10.0.0.2:9000"), engine("e2", "10.0.0.1:9000"))  # change places
+    grow(state, Op("engine/e1", None), engine("e3", "10.0.0.2:9000"))
+    grow(state, engine("e4", "10.0.1.1:7400"))  # engines and brokers don't share sockets
+    grow(state, engine("e5", "10.0.0.1:9000", zone="z"), Op("engine/e2"))
+    grow(state, Op("engine/e5"))
+    grow(state, engine("e6", "10.0.0.1:9000"))  # free since the change before
+    with pytest.raises(s.StateError, match="engine/e3"):
+        s.check(state, [engine("e1", "10.0.0.2:9000")])
+    other = state.copy()
+    grow(other, engine("e9", "10.0.0.9:9000"))
+    grow(state, engine("e8", "10.0.0.9:9000"))  # a copy's places are its own
+    grow(state, *(Op(op.key) for op in SECTIONS))
+    assert state.config() == {} and state.verify() and other.verify()
+
+
+def test_a_state_too_large_for_a_frame_is_refused():
+    state = s.FleetState("line")
+    value = s.canonical(s.Engine("a:1", kind="k" * 64))
+    state.entries = {f"engine/n{i}": Entry(f"engine/n{i}", value, 1) for i in range(10)}
+    state.size = s.STATE_MOST
+    with pytest.raises(s.StateError, match="the state would have"):
+        s.check(state, [engine("x", "b:1")])
+
+
+def test_clashes_see_sets_and_removals_and_any_section():
+    state = filled()
+    base = state.version
+    assert s.clashes(state, base, [engine("e1", "a:1")]) == []
+    grow(state, Op("engine/e1"), engine("e2", "10.0.0.2:9001"))
+    grow(state, Op("config/Rules", s.canonical(SETTINGS["Rules"] | {"StartCapacity": 0.5})))
+    assert s.clashes(state, base, [engine("e1", "a:1"), engine("e2", "a:2"), engine("e3", "a:3")]) == [
+        "engine/e1", "engine/e2"]
+    assert s.clashes(state, base, [Op("config/Dcs", b"")]) == ["config/Rules"]
+    assert s.clashes(state, state.version, [Op("config/Dcs", b""), Op("engine/e1", b"")]) == []
+    assert s.clashes(state, state.version + 1, []) == [s.BASE_NOT_YET]
+    again = s.FleetState.restore(state.snapshot())  # of keys that aren't there it knows nothing before
+    assert s.clashes(again, base, [engine("e1", "a:1")]) == [s.BASE_TOO_OLD]
+    assert s.clashes(again, base, [engine("e2", "a:1")]) == ["engine/e2"]
+    assert s.clashes(again, base, [Op("config/Dcs", b"")]) == ["config/Rules", s.BASE_TOO_OLD]
+    assert s.clashes(again, again.version, [engine("e1", "a:1"), Op("config/Dcs", b"")]) == []
+
+
+def test_removals_and_requests_known_are_bounded(monkeypatch):
+    monkeypatch.setattr(s, "REMOVED_MOST", 2)
+    state = s.FleetState("line")
+    grow(state, *(engine(f"e{i}", f"h:{i + 1}") for i in range(4)))
+    for i in range(4):
+        grow(state, Op(f"engine/e{i}"), request=f"a{i}")
+    assert list(state.removed) == ["engine/e2", "engine/e3"] and state.removed_since == 3
+    assert s.clashes(state, 1, [Op("engine/e0")]) == [s.BASE_TOO_OLD]
+    for i in range(s.REQUESTS_MOST):
+        grow(state, request=f"b{i}")
+    assert len(state.requests) == s.REQUESTS_MOST and state.requested("a3") is None
+    assert state.requested("b0") == 6 and state.requested("") is None
+
+
+def test_a_snapshot_that_does_not_verify_is_refused():
+    good = filled().snapshot()
+    entry = good.entries[0]
+    rest = good.entries[1:]
+    for entries in (rest, [*good.entries, entry], [Entry(entry.key, entry.value, 9), *rest],
+                    [Entry(entry.key, b"\x01", entry.version), *rest]):
+        with pytest.raises(s.StateError):
+            s.FleetState.restore(Snapshot("line", 1, 2, good.digest, entries, []))
+
+
+def test_unpack_is_bounded_and_raises_one_error():
+    packed = h.pack(filled().snapshot())
+    assert h.unpack(packed) == filled().snapshot()
+    bomb = zlib.compress(b"\0" * (h.UNPACKED_MOST + 1))
+    for bad in (b"", packed[:-5], packed + b"x", b"x" * 50, bomb, zlib.compress(b"\xc1")):
+        with pytest.raises(s.StateError):
+            h.unpack(bad)
+
+
+def test_history_sends_what_it_keeps_and_no_more():
+    history = h.History(s.FleetState("line"), changes_most=5)
+    positions = [(0, 0, history.state.digest)]
+    for i in range(8):
+        history.apply(history.state.draft(1 + i // 4, [engine(f"e{i}", f"h:{i + 1}")]))
+        positions.append((*history.state.position, history.state.digest))
+    assert [history.since(*p) is None for p in positions] == [True] * 3 + [False] * 6
+    assert [c.version for c in history.since(*positions[4])] == [5, 6, 7, 8]
+    assert [c.version for c in history.since(*positions[4], most_bytes=1)] == [5]
+    assert history.since(*positions[8]) == [] and history.since(2, 9, b"\0" * 16) is None
+    assert history.since(1, 5, positions[5][2]) is None and history.since(2, 5, b"\0" * 16) is None
+    packed = history.packed()
+    assert history.packed() is packed
+    history.compact(keep=1)
+    assert history.since(*positions[6]) is None and len(history.since(*positions[7])) == 1
+    with pytest.raises(s.StateError):
+        history.apply(Change(2, 9, [], b"\0" * 16))
+    assert history.packed() is packed and history.at(8) == positions[8]
+    history.apply(history.state.draft(2, []))
+    assert h.unpack(history.packed()).version == 9
+    history.reset(h.unpack(packed))
+    assert history.state.version == 8 and history.since(*positions[8]) == []
+    assert history.since(*positions[7]) is None
+
+
+def test_history_is_bounded_in_bytes():
+    history = h.History(s.FleetState("line"), bytes_most=10_000)
+    for i in range(50):
+        history.apply(history.state.draft(1, [Op("config/Extra", s.canonical("x" * 1000 + str(i)))]))
+    assert 0 < len(history.changes) < 10 and history.bytes <= 10_000
