Fleet: FleetNode holds members and leases for any process; FleetPart is built on it

Need: a control process takes part in membership and leases without a Core or a Config, and the laboratory runs many hollow brokers in one process; FleetPart was tied to both.

Change: fleet/node.py, taken out of part.py: exchange, members, electorate, keeper and the owner's greenlet, with hooks for what has happened to leases and members, for ending what is done under a lease, for what else is due, and handlers for further items by type. Peers and leases may be named anew at run time (`rename`, `set_places`). A peer that is named no more while a flush lets others have their turn no longer ends the owner with a KeyError.

--- a/cypressledge/fleet/exchange.py
+++ b/cypressledge/fleet/exchange.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import gevent
 from gevent import socket
 from gevent.event import Event
 from gevent.socket import wait_read
@@ -56,6 +57,13 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
         self.sock.bind(listen)
+        self.reader: gevent.Greenlet | None = None
+
+    def close(self) -> None:
+        """End the greenlet that reads, then the socket."""
+        if self.reader is not None:
+            self.reader.kill()  # guards against a wait on a number that another socket gets
+        self.sock.close()
 
     def name_peers(self, addresses: dict[str, tuple[str, int]]) -> None:
         """Where the peers are; what waits for one that is named no more is dropped."""
@@ -86,6 +94,9 @@
                 breathe()
 
     def _send(self, peer: str, items: list) -> None:
+        address = self.addresses.get(peer)
+        if address is None:  # named no more since this flush began, while others had their turn
+            return
         raw = encode(Envelope(VERSION, self.name, peer, *self.head(), items))
         if len(raw) > SMALL and len(items) > 1:
             half = len(items) // 2
@@ -97,7 +108,7 @@
             return
         try:
             # Not gevent's sendto: that would wait where the socket's buffer is full.
-            self.sock._sock.sendto(raw, self.addresses[peer])
+            self.sock._sock.sendto(raw, address)
             self.counters.add("fleet.sent")
         except OSError:
             self.counters.add("fleet.not_sent")
@@ -105,6 +116,7 @@
     def read(self) -> None:
         """A greenlet: says when datagrams have come, and again once those have been taken in. The owner takes
         them in, many at a time: waking up costs a process more than all that a datagram asks for."""
+        self.reader = gevent.getcurrent()
         while True:
             wait_read(self.sock.fileno())
             self.drained.clear()
--- a/cypressledge/fleet/part.py
+++ b/cypressledge/fleet/part.py
@@ -1,15 +1,11 @@
-"""The fleet's part of one broker, put together: exchange, members, leases, tasks, calls. Uses gevent.
+"""The fleet's part of one broker: its node of the fleet, with tasks, zones, summaries and operators' calls.
 
-One greenlet owns members and leases; what comes in waits in the exchange's inbox. Nothing here is imported
-unless `--fleet FILE` asks for it.
+Nothing here is imported unless `--fleet FILE` asks for it.
 """
 
 import json
-import os
 import time
-from collections import deque
 
-import gevent
 import msgspec
 
 from cypressledge.config import Config, ConfigError, address
@@ -18,15 +14,13 @@
 from cypressledge.counters import Counters
 from cypressledge.fleet.budget import Budget
 from cypressledge.fleet.clock import LeaseClock
-from cypressledge.fleet.events import logger
-from cypressledge.fleet.exchange import Exchange
-from cypressledge.fleet.keeper import Keeper, Place, places
+from cypressledge.fleet.keeper import Place, places
 from cypressledge.fleet.lease import Electorate, VoterSetError
-from cypressledge.fleet.members import STATES, Member, Members
+from cypressledge.fleet.members import STATES
 from cypressledge.fleet.messages import (
-    Ack, Ask, Envelope, Figures, FiguresWanted, Freed, GiveBack, Ping, PingFor, Plan, PlanWanted, Refuse,
-    Sight, Summary, ZoneWish,
+    Figures, FiguresWanted, Plan, PlanWanted, Sight, Summary, ZoneWish,
 )
+from cypressledge.fleet.node import FleetNode, Handler
 from cypressledge.fleet.ranks import line
 from cypressledge.fleet.runner import Runner, Task
 from cypressledge.fleet.settings import FleetSettings, TaskSpec, Wish, read_fleet
@@ -35,17 +29,11 @@
 from cypressledge.fleet.zoneplan import Pace
 from cypressledge.fleet.zones import STEP_S, Site, Zones
 
-AT_ONCE = 16  # datagrams looked at before others have their turn
-SLICE_US = 300  # of the owner's turn, after which requests go first
-PAUSE = 0.03  # seconds between turns: what comes close together is answered together
-PAUSE_SHORT = 0.002  # where it is urgent, or
-MANY = 32  # datagrams or more have come at once
-RUN_BITS = 62
-OF_MEMBERS = frozenset((Ping, Ack, PingFor))
-OF_ZONES = frozenset((Sight, Plan, PlanWanted, ZoneWish))
-OF_SUMMARIES = frozenset((FiguresWanted, Figures, Summary))
-URGENT = frozenset((Freed, GiveBack, Refuse, PingFor, Plan, ZoneWish, PlanWanted))
-QUIET = ("not_won", "voted_not")  # events that are counted only
+OF_ZONES = (Sight, Plan, PlanWanted, ZoneWish)
+OF_SUMMARIES = (FiguresWanted, Figures, Summary)
+URGENT = (Plan, ZoneWish, PlanWanted)
+FAR = 1_000_000  # µs: without zones nothing else is due sooner
+TURNS_KEPT = 4_096  # minutes of the owner's turns
 
 
 class FleetPart:
@@ -53,55 +41,50 @@
 
     def __init__(self, path: str, config: Config, core: Core, counters: Counters) -> None:
         self.path, self.name, self.classes = path, config.name, config.classes
-        name, self.core, self.counters = self.name, core, counters
+        self.core, self.counters = core, counters
         told = self.told = read_fleet(path)
-        own = next((p for p in told.peers if p.name == name), None)
-        if own is None:
-            raise ConfigError(f"{path}: this broker, {name}, is not among the peers")
-        self.clock = LeaseClock(told.lab.clock_rate, round(told.lab.clock_offset_s * 1e6))
-        now = self.clock.now()
-        self.run_id = int.from_bytes(os.urandom(8), "big") >> (64 - RUN_BITS) or 1
-        self.log = logger(name, self.run_id)
-        newest = max(told.sets)
-        self.electorate = Electorate(name, told.longest, dict(told.sets), newest, now,
-                                     round(told.grace_s * 1e6))
-        listen = address(told.listen or own.address)
-        self.exchange = Exchange(name, listen, counters, self.clock.now, self._head)
-        wall = time.time_ns() // 1000 + round(told.lab.wall_step_s * 1e6)
-        self.members = Members(name, [p.name for p in told.peers], wall // 1000, round(told.ping_s * 1e6),
-                               self.run_id, self.exchange.out, self._member_changed)
-        self.keeper = Keeper(name, self.run_id, self._places(told), self.electorate, told.drift_ppm, now,
-                             wall, self.run_id, self.exchange.out, self._lease_told)
-        self.summaries = Summaries(name, self._figures, lambda: sorted(self.members.alive() - {name}),
-                                   lambda: [p.name for p in self.told.peers], self.exchange.out,
-                                   self.clock.now)
-        self.zones = self._zones(told, config)
-        self.runner = Runner([self._task(t) for t in told.tasks], self._grant, self.clock.now,
-                             Budget(told.task_share), self._event)
+        own = self._own(told)
         self.turns: set[str] = set()
         self.record = open(told.lab.record, "a", buffering=1, encoding="utf-8") if told.lab.record else None
         self.recorded: dict[str, int] = {}
-        self.versions: dict[str, int] = {}  # of the voter set, by peer, as last said
-        self._name_peers(told)
-        self.pending: list[tuple[str, str, int, str]] = []
-        self.parts = [self.exchange.read, self.own, self.runner.turns]
-        self.stopped = False
-        self.began = 0
-        self.turn_times: deque[int] = deque(maxlen=4_096)  # µs: what a request may have to wait for a turn
-        counters.gauge("fleet.turn_p99_us", self.turn_p99)
+        self.node = self._node(told, address(told.listen or own.address))
+        self.clock, self.log, self.members = self.node.clock, self.node.log, self.node.members
+        self.keeper, self.electorate = self.node.keeper, self.node.electorate
+        self.summaries = Summaries(self.name, self._figures, self.node.others,
+                                   lambda: [p.name for p in self.told.peers], self.node.out, self.node.now)
+        self.zones = self._zones(told, config)
+        self.node.handlers |= self._handlers()
+        self.runner = Runner([self._task(t) for t in told.tasks], self.node.grant, self.node.now,
+                             Budget(told.task_share), self._event)
+        self.parts = [*self.node.parts, self.runner.turns]
+        counters.gauge("fleet.turn_p99_us", self.node.turn_p99)
         counters.gauge("fleet.step_longest_us", lambda: self.runner.budget.longest)
 
-    def turn_p99(self) -> int:
-        """µs of the longest of a hundred turns of the owner, over the last minutes."""
-        times = sorted(self.turn_times)
-        return times[len(times) * 99 // 100] if times else 0
-
-    def _head(self) -> tuple[int, int, int, int]:
-        now = self.clock.now()
-        return self.run_id, self.members.incarnation, self.electorate.version, self.electorate.floor(now)
+    def _own(self, told: FleetSettings):
+        own = next((p for p in told.peers if p.name == self.name), None)
+        if own is None:
+            raise ConfigError(f"{self.path}: this broker, {self.name}, is not among the peers")
+        return own
+
+    def _node(self, told: FleetSettings, listen: tuple[str, int]) -> FleetNode:
+        clock = LeaseClock(told.lab.clock_rate, round(told.lab.clock_offset_s * 1e6))
+        electorate = Electorate(self.name, told.longest, dict(told.sets), max(told.sets), clock.now(),
+                                round(told.grace_s * 1e6))
+        return FleetNode(
+            self.name, listen=listen, addresses=self._addresses(told), electorate=electorate,
+            places=self._places(told), drift_ppm=told.drift_ppm, ping_s=told.ping_s, counters=self.counters,
+            clock=clock, wall=time.time_ns() // 1000 + round(told.lab.wall_step_s * 1e6),
+            told=self._lease_told, call_off=lambda lease: self.runner.call_off(lease), tick=self._tick,
+            urgent=URGENT, turns_kept=TURNS_KEPT)
+
+    def _handlers(self) -> dict[type, Handler]:
+        """Who takes what. Without zone failover others' words about zones are only counted."""
+        taken = dict.fromkeys(OF_SUMMARIES, self.summaries.receive)
+        return taken if self.zones is None else taken | dict.fromkeys(OF_ZONES, self.zones.receive)
 
-    def _name_peers(self, told: FleetSettings) -> None:
-        self.exchange.name_peers({p.name: address(p.address) for p in told.peers if p.name != self.name})
+    @staticmethod
+    def _addresses(told: FleetSettings) -> dict[str, tuple[str, int]]:
+        return {p.name: address(p.address) for p in told.peers}
 
     @staticmethod
     def _places(told: FleetSettings) -> list[Place]:
@@ -128,7 +111,7 @@
                 confirm=round(pace.confirm_s * 1e6), hold=round(pace.hold_s * 1e6), margin=pace.margin,
                 hold_most=round(pace.hold_most_s * 1e6), bear=pace.bear,
                 start=settings.start_capacity, warm=warm, step=min(usual.step, warm // 32)),
-            self.clock.now, self.exchange.out, lambda: sorted(self.members.alive() - {self.name}),
+            self.node.now, self.node.out, self.node.others,
             lambda: line(spec.lease, self.members.alive()), self._event)
 
     def _task(self, spec: TaskSpec) -> Task:
@@ -137,94 +120,29 @@
         if spec.kind == "summary":
             act = self.summaries.act
         else:
-            act = Call(self.name, address(spec.at), spec.steps, spec.step_s, self._turned_down).act
+            act = Call(self.name, address(spec.at), spec.steps, spec.step_s, self.node.refused).act
         return Task(spec.kind, spec.lease, act, spec.every_s, spec.longest_s, spec.priority)
 
-    # The owner
-
-    def own(self) -> None:
-        """A greenlet: takes in what came, does what is due, sends what that made."""
-        self.log.info("fleet_joined", voters=list(self.electorate.voters), version=self.electorate.version,
-                      mute_s=round(self.keeper.voter.mute(self.clock.now()) / 1e6, 2))
-        self.members.greet()
-        while not self.stopped:
-            self.began = time.perf_counter_ns()
-            now = self.clock.now()
-            for _ in range(AT_ONCE):
-                if not self.exchange.inbox:
-                    break
-                self._receive(now, self.exchange.inbox.popleft())
-            due = min(self.members.tick(now), self.keeper.tick(now))
-            if self.zones is not None:
-                due = min(due, self.zones.tick(now))
-            self.keeper.set_alive(self.members.alive(), now)
-            self._take_turns(now)
-            self._settle()
-            self.exchange.flush(self._breathe)
-            self.turn_times.append((time.perf_counter_ns() - self.began) // 1000)
-            self._wait(due)
-
-    def _breathe(self) -> None:
-        """Guards against a turn that keeps requests waiting: a send may take the system long."""
-        took = (time.perf_counter_ns() - self.began) // 1000
-        if took > SLICE_US:
-            self.turn_times.append(took)
-            gevent.sleep(0)
-            self.began = time.perf_counter_ns()
-
-    def _wait(self, due: int) -> None:
-        if not self.exchange.inbox:
-            left = (due - self.clock.now()) / 1e6 / self.clock.rate
-            if left > 0:
-                self.exchange.woken.wait(min(left, 0.25))
-        many = self.exchange.drain() >= MANY  # a flood must not fill the socket while nobody takes it in
-        gevent.sleep(PAUSE_SHORT if many or self._urgent() else PAUSE)
-        self.exchange.drain()
-
-    def _urgent(self) -> bool:
-        """Whether a lease, or the plan, is about to move: that does not wait for what else may come. Renewals
-        and pings do."""
-        items = (i for e in self.exchange.inbox for i in e.items)
-        return self.keeper.asking() or any(
-            type(i) in URGENT or (type(i) is Ask and not i.renews) for i in items)
-
-    def _receive(self, now: int, envelope: Envelope) -> None:
-        mine = envelope.sender == self.name
-        if not mine and not self.members.hear(now, envelope.sender, envelope.incarnation):
-            self.counters.add("fleet.former_self")
-            self.members.refute(envelope.items)
-            return
-        self.electorate.hear(now, envelope.sender, envelope.floor)
-        self.versions[envelope.sender] = envelope.voters
-        for item in envelope.items:
-            kind = type(item)
-            if kind in OF_MEMBERS:
-                self.members.receive(now, envelope.sender, item)
-            elif kind in OF_ZONES:
-                if self.zones is not None:
-                    self.zones.receive(envelope.sender, item)
-            elif kind in OF_SUMMARIES:
-                self.summaries.receive(envelope.sender, item)
-            else:
-                self.keeper.receive(now, envelope.sender, item)
+    # What the owner of members and leases calls
 
-    def _settle(self) -> None:
-        """Tell what has happened to leases: acts begin and end outside the decisions."""
-        pending, self.pending = self.pending, []
-        for event, lease, token, why in pending:
-            if event == "acquired":
+    def _tick(self, now: int) -> int:
+        """What else time brings; the moment of the next tick."""
+        self._take_turns(now)
+        for lease in list(self.recorded):
+            if self.node.grant(lease) is not None:  # an end is recorded once what is done under it has ended
                 self._record(lease)
-                group = self.keeper.seats[lease].place.group
-                self.runner.begin(lease, group)
-            elif event == "lost":
-                self.runner.call_off(lease)
-            if event in ("lost", "given_back") and self.zones is not None:
+        return now + FAR if self.zones is None else self.zones.tick(now)
+
+    def _lease_told(self, event: str, lease: str, token: int, why: str) -> None:
+        if event == "acquired":
+            self._record(lease)
+            self.runner.begin(lease, self.keeper.seats[lease].place.group)
+        elif event == "lost":
+            self.runner.call_off(lease)
+        if event in ("lost", "given_back"):
+            if self.zones is not None:
                 self.zones.step_down_from(lease)
-            self.counters.add(f"fleet.{event}")
-            if event not in QUIET:
-                self.log.info(f"lease_{event}", lease=lease, token=token, why=why)
-        if self.record is not None:
-            for lease in list(self.recorded):
+            if lease in self.recorded:
                 self._record(lease)
 
     def _record(self, lease: str) -> None:
@@ -240,27 +158,13 @@
         else:
             self.recorded[lease] = grant.until
             told = {"lease": lease, "token": grant.token, "until": self.clock.true(grant.until)}
-        told |= {"broker": self.name, "run": self.run_id, "at": LeaseClock().now()}
+        told |= {"broker": self.name, "run": self.node.run_id, "at": LeaseClock().now()}
         self.record.write(json.dumps(told) + "\n")
 
-    def _lease_told(self, event: str, lease: str, token: int, why: str) -> None:
-        self.pending.append((event, lease, token, why))
-
-    def _member_changed(self, member: Member, why: str) -> None:
-        self.counters.add(f"fleet.peer_{STATES[member.state]}")
-        self.log.info(f"peer_{STATES[member.state]}", peer=member.name, incarnation=member.incarnation,
-                      why=why)
-
     def _event(self, event: str, **what) -> None:
         self.counters.add(f"fleet.{event}")
         self.log.info(event, **what)
 
-    def _grant(self, lease: str):
-        return self.keeper.grant(lease, self.clock.now())
-
-    def _turned_down(self, lease: str, token: int) -> None:
-        self.keeper.refused_by_resource(lease, token, self.clock.now())
-
     def _figures(self, token: int) -> Figures:
         held = self.core.manager.engines
         avoided = [p.name for lst in self.core.lists.values() for e, p in lst
@@ -270,58 +174,31 @@
         return figures(token, self.core.counters.counts, self.classes, avoided, len(self.core.ready),
                        len(self.core.requests))
 
-    # Giving up
-
-    def give_back(self, lease: str, why: str, rest_s: float = 0.0) -> bool:
-        """End what is done under a lease, then give it back. Whether it was held."""
-        if not self.runner.call_off(lease):
-            return False  # an act goes on: the lease has to run out with it
-        now = self.clock.now()
-        done = self.keeper.give_back(lease, now, why, round(rest_s * 1e6))
-        self._settle()
-        self.exchange.flush()
-        return done
+    # Changes
 
     def stop(self) -> None:
         """This broker stops: leases go back at once, and the peers are told. A turn to restart is kept: it
         runs out by itself, while the process starts anew."""
-        if self.stopped:
-            return
-        self.stopped = True
-        now = self.clock.now()
-        kept = {s.place.lease for s in self.keeper.seats.values() if s.place.group in self.turns}
-        for lease in [n for n in self.keeper.seats if n not in kept]:
-            if self.runner.call_off(lease):
-                self.keeper.give_back(lease, now, "stopping")
-        self.keeper.stopping = True
-        self.members.leave()
-        self._settle()
-        self.exchange.flush()
-        self.log.info("fleet_left", kept=sorted(kept & {g.lease for g in self.keeper.held(now)}))
+        self.node.stop({s.place.lease for s in self.keeper.seats.values() if s.place.group in self.turns})
 
     def reload(self) -> None:
         """Read the file again. Guards against a bad one, and one that changes more than one voter."""
         try:
             told = read_fleet(self.path)
-            if self.name not in (p.name for p in told.peers):
-                raise ConfigError(f"{self.path}: this broker, {self.name}, is not among the peers")
+            self._own(told)
             fixed = ("term_s", "longest", "drift_ppm", "listen", "lab", "tasks", "ping_s", "task_share",
                      "zone_pace", "regions")
             for key in fixed:
                 if getattr(told, key) != getattr(self.told, key):
                     raise ConfigError(f"{self.path}: another {key} needs a restart of all brokers")
-            now = self.clock.now()
-            changed = self.electorate.take(now, max(told.sets), dict(told.sets))
+            changed = self.electorate.take(self.clock.now(), max(told.sets), dict(told.sets))
         except (ConfigError, VoterSetError) as err:
             self.counters.add("fleet.reload_failures")
             self.log.warning("fleet_reload_refused", why=str(err))
             return
         self.told = told
-        self.members.rename([p.name for p in told.peers])
-        self._name_peers(told)
-        for lease in set(self.keeper.seats) - {p.lease for p in self._places(told)}:
-            self.runner.call_off(lease)
-        self.keeper.set_places(self._places(told), now)
+        self.node.rename(self._addresses(told))
+        self.node.set_places(self._places(told))
         self.log.info("fleet_reloaded", version=self.electorate.version, voters_changed=changed)
 
     # Turns at restarting
@@ -349,9 +226,8 @@
             self._take_turns(now)
         else:
             self.turns.discard(group)
-            self.keeper.unwant(group, now)
-            self._settle()
-        self.exchange.woken.set()
+            self.node.unwant(group)
+        self.node.wake()
         held = [g for g in self.keeper.held(now) if g.group == group]
         return {"lease": group, "wanted": group in self.turns, "yours": bool(held),
                 "token": held[0].token if held else 0, "missing": self.members.missing()}
@@ -371,7 +247,7 @@
         rows = [row(self.name, "alive", self.members.incarnation, 0.0, self.electorate.version)]
         for m in self.members.members.values():
             heard = round((now - m.heard) / 1e6, 2) if m.heard else None
-            rows.append(row(m.name, STATES[m.state], m.incarnation, heard, self.versions.get(m.name)))
+            rows.append(row(m.name, STATES[m.state], m.incarnation, heard, self.node.versions.get(m.name)))
         return sorted(rows, key=lambda p: p["name"])
 
     def leases(self) -> list[dict]:
@@ -395,7 +271,7 @@
                  "called_off": t.called_off, "overdue": t.overdue, "failed": t.failed, "priority": t.priority,
                  "cpu_ms": round(self.runner.budget.spent / 1e3, 2),
                  "longest_step_ms": round(self.runner.budget.longest / 1e3, 3),
-                 "turn_p99_ms": self.turn_p99() / 1e3} for t in self.runner.tasks]
+                 "turn_p99_ms": self.node.turn_p99() / 1e3} for t in self.runner.tasks]
 
     def calls(self, management) -> None:
         """Add the operators' calls to their address."""
@@ -418,7 +294,7 @@
         lease = request.body.decode("utf-8", "replace").strip()
         if lease not in self.keeper.seats:
             return 404, b"no such lease\n"
-        if not self.give_back(lease, "by hand", rest_s=3 * self.told.longest / 1e6):
+        if not self.node.give_back(lease, "by hand", rest_s=3 * self.told.longest / 1e6):
             return 409, b"not held here\n"
         return 200, f"{lease} given back\n".encode()
 
