Fleet: 1,000 peers, peers that come and go, and members that look at suspects only

Need: 460 brokers and control machines, replaced one by one; the limit was 200 peers, checking a file was quadratic, an old address kept its bucket for good, and 512 made-up addresses left a new peer to share one bucket with them.

Change: PEERS_MOST 1,000, with the reason in the message; `_once` is linear. Each peer's address has a bucket of its own from the moment it is named; of the rest 512 are kept, and freed after 60 s of silence, looked for once a second at most. Members look at suspects only, sort the news only where not all of it fits, and list the living only to ping in place of one that is gone; a peer named at run time joins the round that is on, and what is known of one named no more is forgotten (Electorate.heard too). Who starts greets 8 peers up to 200, and in larger fleets as many more: 18 of 455.

--- a/cypressledge/fleet/exchange.py
+++ b/cypressledge/fleet/exchange.py
@@ -20,7 +20,10 @@
 INBOX_MOST = 1_024  # datagrams that wait to be looked at
 RATE = 400.0  # datagrams a second from one address, in the long run
 BURST = 800.0
-ADDRESSES_MOST = 512
+ADDRESSES_MOST = 512  # of no peer's; a peer's own has a place besides
+BUCKET_IDLE = 60_000_000  # µs after which a bucket may be freed: it is full again long before
+SWEEP = 1_000_000  # µs between looks for such
+SHARED = ("", 0)  # the bucket that all further addresses share
 SMALL = 1_200  # bytes that a datagram is filled up to: under any path's MTU
 ITEMS_EACH = 64
 DRAIN_MOST = 256  # datagrams taken in at once
@@ -51,7 +54,9 @@
         self.name, self.counters, self.now, self.head = name, counters, now, head
         self.addresses: dict[str, tuple[str, int]] = {}
         self.queues: dict[str, list] = {}
-        self.buckets: dict[tuple[str, int], Bucket] = {}
+        self.of_peers: dict[tuple[str, int], Bucket] = {}  # by the address that a peer is named with
+        self.buckets: dict[tuple[str, int], Bucket] = {}  # by any other
+        self.swept = -SWEEP
         self.inbox: deque[Envelope] = deque()
         self.woken, self.drained = Event(), Event()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -68,6 +73,7 @@
     def name_peers(self, addresses: dict[str, tuple[str, int]]) -> None:
         """Where the peers are; what waits for one that is named no more is dropped."""
         self.addresses = addresses
+        self.of_peers = {a: self.of_peers.get(a) or Bucket(at=self.now()) for a in addresses.values()}
         self.queues = {n: q for n, q in self.queues.items() if n in addresses}
 
     def out(self, peer: str, item: object) -> None:
@@ -117,7 +123,7 @@
         """A greenlet: says when datagrams have come, and again once those have been taken in. The owner takes
         them in, many at a time: waking up costs a process more than all that a datagram asks for."""
         self.reader = gevent.getcurrent()
-        while True:
+        while self.sock.fileno() >= 0:  # it may be closed before this has begun
             wait_read(self.sock.fileno())
             self.drained.clear()
             self.woken.set()
@@ -139,12 +145,8 @@
         return DRAIN_MOST
 
     def _take(self, raw: bytes, source: tuple[str, int]) -> None:
-        bucket = self.buckets.get(source)
-        if bucket is None:
-            if len(self.buckets) >= ADDRESSES_MOST:
-                source = ("", 0)  # all further addresses share one
-            bucket = self.buckets.setdefault(source, Bucket(at=self.now()))
-        if not bucket.take(self.now()):
+        now = self.now()
+        if not self._bucket(source, now).take(now):
             self.counters.add("fleet.flooded")
             return
         if len(self.inbox) >= INBOX_MOST:
@@ -160,3 +162,20 @@
             return
         self.counters.add("fleet.received")
         self.inbox.append(envelope)
+
+    def _bucket(self, source: tuple[str, int], now: int) -> Bucket:
+        """What an address takes from. Guards against made-up addresses, which neither grow this without bound
+        nor shut out a peer: its own bucket waits for it."""
+        bucket = self.of_peers.get(source) or self.buckets.get(source)
+        if bucket is None:
+            if len(self.buckets) >= ADDRESSES_MOST and now - self.swept >= SWEEP:
+                self._sweep(now)
+            if len(self.buckets) >= ADDRESSES_MOST:
+                source = SHARED
+            bucket = self.buckets.setdefault(source, Bucket(at=now))
+        return bucket
+
+    def _sweep(self, now: int) -> None:
+        """Free the buckets of addresses long silent: machines that were replaced."""
+        self.swept = now
+        self.buckets = {a: b for a, b in self.buckets.items() if now - b.at < BUCKET_IDLE}
--- a/cypressledge/fleet/keeper.py
+++ b/cypressledge/fleet/keeper.py
@@ -107,7 +107,7 @@
 
     def set_alive(self, alive: frozenset[str], now: int) -> None:
         """Who is alive has changed: the lines for leases are other ones."""
-        if alive == self.alive:
+        if alive is self.alive or alive == self.alive:  # mostly the same set: at size it costs to compare
             return
         self.alive, self.lines, self.soonest = alive, {}, 0
         for seat in self.seats.values():
--- a/cypressledge/fleet/lease.py
+++ b/cypressledge/fleet/lease.py
@@ -8,6 +8,7 @@
 a disk. All times are µs on the process's own clock, all rates within `drift` (parts in a million) of true.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from cypressledge.fleet.messages import Ask, GiveBack, Grant, Look, Refuse, Seen
@@ -66,6 +67,13 @@
             known.append((floor, now))
             del known[:-4]
 
+    def forget(self, names: Collection[str]) -> None:
+        """These are the brokers there are: guards against a list that grows with each one replaced. What is
+        known of a voter of any version stays."""
+        kept = set(names).union(*self.sets.values())
+        for name in self.heard.keys() - kept:
+            del self.heard[name]
+
     def settled(self, now: int, version: int) -> bool:
         """Whether a majority of this version's voters has refused what is older for a whole longest term."""
         def refuses(voter: str) -> bool:
--- a/cypressledge/fleet/members.py
+++ b/cypressledge/fleet/members.py
@@ -18,6 +18,8 @@
 STATES = ("alive", "suspect", "gone")
 WORDS_MOST = 24  # words on one ping, but for the first to a broker that has just started
 FIRST_WORDS = 96  # on that first one: under a datagram's bound whatever the names
+GREETED = 8  # peers that one that starts pings at once, in fleets
+GREETED_UP_TO = 200  # of this size; in larger ones as many more
 THROUGH = 3  # peers that are asked to ping another
 
 
@@ -50,6 +52,7 @@
         self.name, self.period, self.out, self.changed = name, period, out, changed
         self.incarnation, self.random = incarnation, random.Random(seed)
         self.members = {p: Member(p) for p in peers if p != name}
+        self.suspects: dict[str, Member] = {}
         self.words: dict[str, int] = {}  # whose news is to be spread, and how many times more
         self.round: list[str] = []
         self.probes: dict[int, Probe] = {}
@@ -58,7 +61,14 @@
 
     def rename(self, peers: list[str]) -> None:
         """The file names other peers now; those that stay keep what is known of them."""
-        self.members = {p: self.members.get(p) or Member(p) for p in peers if p != self.name}
+        before = self.members
+        self.members = {p: before.get(p) or Member(p) for p in peers if p != self.name}
+        for known in (self.words, self.suspects):
+            for name in known.keys() - self.members.keys():
+                del known[name]
+        self.round = [name for name in self.round if name in self.members]
+        for name in [n for n in self.members if n not in before]:  # met in this round: it may take minutes
+            self.round.insert(self.random.randint(0, len(self.round)), name)
         self._alive = None
 
     def alive(self) -> frozenset[str]:
@@ -127,8 +137,8 @@
         """Ping and give up as time has it; the moment of the next tick."""
         for number, probe in list(self.probes.items()):
             self._wait_for(now, number, probe)
-        for member in self.members.values():
-            if member.state == SUSPECT and now - member.since >= self.patience():
+        for member in list(self.suspects.values()):
+            if now - member.since >= self.patience():
                 self._set(now, member, member.incarnation, GONE, "silent")
         if now >= self.due:
             self.due = now + self.period
@@ -161,9 +171,9 @@
         target = self.round.pop()
         targets = [target]
         # Those that are gone are asked after too, but not in place of the living.
-        living = [m.name for m in self.members.values() if m.state != GONE and m.name != target]
-        if self.members.get(target, Member("")).state == GONE and living:
-            targets.append(self.random.choice(living))
+        if self.members.get(target, Member("")).state == GONE:
+            living = [m.name for m in self.members.values() if m.state != GONE and m.name != target]
+            targets += [self.random.choice(living)] if living else []
         for name in targets:
             if name in self.members:
                 self.number += 1
@@ -174,9 +184,11 @@
         while len(self.asked_for) > 64:
             del self.asked_for[min(self.asked_for)]
 
-    def greet(self, most: int = 8) -> None:
-        """At the start: ping some at once, whose answers tell of all others."""
+    def greet(self) -> None:
+        """At the start: ping some at once, whose answers tell of all others: each of so many as an answer has
+        room for, so with more peers more are asked."""
         names = list(self.members)
+        most = max(GREETED, GREETED * len(names) // GREETED_UP_TO)
         for name in self.random.sample(names, min(most, len(names))):
             self.out(name, Ping(0, [Word(self.name, self.incarnation, ALIVE)]))
 
@@ -200,7 +212,9 @@
         if member is None or member.state != ALIVE or member.heard - member.since < 2 * self.period:
             known = [m for m in self.members.values() if m.incarnation]
             return [own] + [self._word(m) for m in self.random.sample(known, min(FIRST_WORDS, len(known)))]
-        news = sorted(self.words, key=self.words.__getitem__, reverse=True)[:WORDS_MOST]
+        news = list(self.words)
+        if len(news) > WORDS_MOST:
+            news = sorted(news, key=self.words.__getitem__, reverse=True)[:WORDS_MOST]
         for name in news:
             self.words[name] -= 1
             if self.words[name] <= 0:
@@ -233,5 +247,9 @@
         member.incarnation = incarnation
         if state != member.state or again:
             member.state, member.since, self._alive = state, now, None
+            if state == SUSPECT:
+                self.suspects[member.name] = member
+            else:
+                self.suspects.pop(member.name, None)
             self.changed(member, "restarted" if again else why)
         self.words[member.name] = 3 * math.ceil(math.log2(len(self.members) + 2))
--- a/cypressledge/fleet/node.py
+++ b/cypressledge/fleet/node.py
@@ -146,6 +146,8 @@
     def own(self) -> None:
         """A greenlet: takes in what came, does what is due, sends what that made."""
         self.owner = gevent.getcurrent()
+        if self.stopped:  # before it has begun
+            return
         self.log.info("fleet_joined", voters=list(self.electorate.voters), version=self.electorate.version,
                       mute_s=round(self.keeper.voter.mute(self.clock.now()) / 1e6, 2))
         self.members.greet()
@@ -243,6 +245,7 @@
         self.exchange.name_peers({p: a for p, a in addresses.items() if p != self.name})
         for peer in set(self.versions) - set(addresses):
             del self.versions[peer]
+        self.electorate.forget(addresses)
         self.wake()
 
     def set_places(self, places: Iterable[Place]) -> None:
--- a/cypressledge/fleet/settings.py
+++ b/cypressledge/fleet/settings.py
@@ -11,7 +11,7 @@
 from cypressledge.config import ConfigError, address
 from cypressledge.fleet.lease import VoterSetError, check_sets
 
-PEERS_MOST = 200
+PEERS_MOST = 1_000  # 460 brokers, those that replace them in a deployment, control machines
 PLACES_MOST = 32
 LEASES_MOST = 256
 SIZES = range(3, 8)  # voters; 4 and 6 only on the way from one odd number to the next
@@ -162,7 +162,8 @@
     _once([zone for r in told.regions for zone in r.zones], "a region's zone")
     _once([(t.kind, t.lease) for t in told.tasks], "task")
     if not 1 <= len(names) <= PEERS_MOST:
-        raise ConfigError(f"{len(names)} peers; 1 to {PEERS_MOST} can be")
+        raise ConfigError(f"{len(names)} peers; 1 to {PEERS_MOST} can be: 460 brokers, as many that replace "
+                          "them, and control machines")
     for peer in told.peers:
         address(peer.address)
     if told.listen:
@@ -172,9 +173,11 @@
 
 
 def _once(values: list, what: str) -> None:
+    seen = set()
     for value in values:
-        if values.count(value) > 1:
+        if value in seen:
             raise ConfigError(f"{what} {value} is named twice")
+        seen.add(value)
 
 
 def _check_voters(told: FleetSettings, names: set[str]) -> None:
