--- /dev/null
+++ b/tests/test_fleet_node.py
@@ -0,0 +1,226 @@
+"""Members of a fleet without a broker: leases, peers that move, the socket's bounds, a file of many peers."""
+
+import time
+
+import gevent
+import pytest
+import yaml
+
+from cypressledge.counters import Counters
+from cypressledge.fleet.clock import LeaseClock
+from cypressledge.fleet.exchange import ADDRESSES_MOST, BUCKET_IDLE, BURST, Exchange
+from cypressledge.fleet.keeper import places
+from cypressledge.fleet.lease import Electorate
+from cypressledge.fleet.members import ALIVE, GONE, SUSPECT, Members
+from cypressledge.fleet.messages import Ping, Sight, Word
+from cypressledge.fleet.node import FleetNode
+from cypressledge.fleet.settings import read_fleet
+from cypressledge.lab.processes import until
+from cypressledge.lab.relay import udp_ports
+
+TERM = 600_000  # µs
+NAMES = ("n0", "n1", "n2")
+
+
+class Quiet:
+    """A log that nobody reads."""
+
+    def info(self, event, **what):
+        pass
+
+
+class Trio:
+    """Three nodes in this process: one lease that all ask for, and one for those that want it."""
+
+    def __init__(self):
+        ports = udp_ports([*NAMES, "spare"])
+        self.at = {n: ("127.0.0.1", p) for n, p in ports.items()}
+        self.spare = self.at.pop("spare")
+        self.told, self.changed, self.nodes, self.parts = [], [], {}, []
+        for name in NAMES:
+            self.start(name, self.at[name])
+
+    def start(self, name, listen, **more):
+        clock = LeaseClock()
+        told = {
+            "addresses": self.at, "drift_ppm": 10_000, "ping_s": 0.1, "counters": Counters(), "clock": clock,
+            "electorate": Electorate(name, TERM, {1: NAMES}, 1, clock.now()), "log": Quiet(),
+            "places": [*places("one", 1, TERM, False), *places("wish", 1, TERM, True)],
+            "told": lambda *what: self.told.append((name, *what)),
+            "member_changed": lambda m, why: self.changed.append((name, m.name, m.state))}
+        node = self.nodes[name] = FleetNode(name, listen=listen, **(told | more))
+        self.parts += map(gevent.spawn, node.parts)
+        return node
+
+    def holders(self, lease="one"):
+        return [n for n, node in self.nodes.items() if node.grant(lease) is not None]
+
+    def end(self):
+        for node in self.nodes.values():
+            node.close()
+        gevent.joinall(self.parts, timeout=5, raise_error=True)
+        assert all(part.dead for part in self.parts)
+
+
+@pytest.fixture
+def trio():
+    made = Trio()
+    yield made
+    made.end()
+
+
+def test_nodes_without_a_broker_hold_a_lease_and_pass_it_on(trio):
+    assert until(trio.holders, 10, 0.01) and until(lambda: all(len(n.alive()) == 3 for n in
+                                                               trio.nodes.values()), 10, 0.01)
+    first = trio.holders()[0]
+    token = trio.nodes[first].grant("one").token
+    trio.nodes[first].stop()
+    began = time.monotonic()
+    assert until(lambda: [n for n in trio.holders() if n != first], 10, 0.005)
+    assert time.monotonic() - began < TERM / 1e6, "a lease that is given back is not waited for"
+    second = trio.holders()[0]
+    assert trio.nodes[second].grant("one").token > token
+    events = [(n, event) for n, event, lease, *_ in trio.told if lease == "one"]
+    assert (first, "given_back") in events and (second, "acquired") in events
+    assert until(lambda: first not in trio.nodes[second].alive(), 10, 0.01)
+    assert (second, first, 2) in trio.changed
+
+
+def test_a_lease_by_wish_is_taken_and_given_back(trio):
+    assert until(trio.holders, 10, 0.01) and not trio.holders("wish")
+    assert trio.nodes["n1"].want("wish") and not trio.nodes["n1"].want("no such lease")
+    assert until(lambda: trio.holders("wish") == ["n1"], 10, 0.01)
+    assert trio.nodes["n1"].give_back("wish", "done") and not trio.holders("wish")
+    assert not trio.nodes["n1"].give_back("wish", "done")
+
+
+def test_work_that_goes_on_keeps_its_lease(trio):
+    trio.nodes["n2"].close()
+    node = trio.start("n2", trio.at["n2"], call_off=lambda lease: False)
+    node.want("wish")
+    assert until(lambda: trio.holders("wish") == ["n2"], 10, 0.01)
+    assert not node.give_back("wish", "by hand") and trio.holders("wish") == ["n2"]
+    node.stop()
+    assert trio.holders("wish") == ["n2"]  # it runs out by itself
+
+
+def test_a_peer_moves_and_another_leaves_the_names_at_run_time(trio):
+    assert until(lambda: all(len(n.alive()) == 3 for n in trio.nodes.values()), 10, 0.01)
+    known = trio.nodes["n0"].members.members["n1"]
+    trio.nodes["n2"].close()
+    trio.at["n2"] = trio.spare
+    trio.start("n2", trio.spare)
+    for node in trio.nodes.values():
+        node.rename(trio.at)
+    assert trio.nodes["n0"].members.members["n1"] is known
+    heard = trio.nodes["n2"].now()
+    assert until(lambda: all(trio.nodes[n].members.members["n2"].heard > heard for n in ("n0", "n1")), 10)
+    assert until(lambda: all(len(n.alive()) == 3 for n in trio.nodes.values()), 10, 0.01)
+    left = {n: a for n, a in trio.at.items() if n != "n1"}
+    trio.nodes["n0"].rename(left)
+    assert trio.nodes["n0"].alive() == {"n0", "n2"}
+    gevent.sleep(0.5)
+    assert trio.nodes["n0"].alive() == {"n0", "n2"} and trio.nodes["n0"].counters.counts["fleet.misdirected"]
+
+
+def test_what_no_handler_takes_is_counted_and_stops_nothing(trio):
+    assert until(lambda: all(len(n.alive()) == 3 for n in trio.nodes.values()), 10, 0.01)
+    got = []
+    trio.nodes["n1"].handlers[Sight] = lambda sender, item: got.append((sender, item.alone))
+    for peer in ("n1", "n2"):
+        trio.nodes["n0"].out(peer, Sight([], {}, ["z"]))
+    assert until(lambda: got, 10, 0.01) == [("n0", ["z"])]
+    assert until(lambda: trio.nodes["n2"].counters.counts["fleet.not_handled"], 10, 0.01)
+    assert not trio.nodes["n2"].owner.dead
+
+
+def test_a_node_sleeps_until_it_is_due(trio):
+    trio.nodes["n1"].close()
+    lone = trio.start("n1", trio.spare, addresses={}, places=[], ping_s=2.0)
+    gevent.sleep(0.3)
+    lone.turn_times.clear()
+    gevent.sleep(2.2)
+    assert 1 <= len(lone.turn_times) <= 3  # it looks at the time once a second
+    lone.rename({"n0": trio.at["n0"]})
+    gevent.sleep(0.3)
+    for _ in range(5):
+        sent = lone.counters.counts["fleet.sent"]
+        lone.out("n0", Sight([], {}, ["z"]))
+        assert until(lambda sent=sent: lone.counters.counts["fleet.sent"] > sent, 0.3, 0.005)  # at once
+
+
+def test_suspects_are_given_up_and_what_is_named_no_more_is_forgotten():
+    changed, sent = [], []
+    members = Members("a", ["a", *"bcdef"], 1, 100, 1, lambda to, item: sent.append(to),
+                      lambda member, why: changed.append((member.name, member.state)))
+    for name in "bcdef":
+        assert members.hear(1_000, name, 5)
+    members.receive(1_200, "b", Ping(1, [Word(name, 5, SUSPECT) for name in "cde"]))
+    members.hear(1_210, "e", 6)  # it speaks up
+    assert set(members.suspects) == {"c", "d"}
+    members.rename([*"abceg"])
+    assert set(members.suspects) == {"c"} and members.words.keys() <= members.members.keys()
+    assert "g" in members.round or not members.round
+    changed.clear()
+    members.tick(1_200 + members.patience() - 1)
+    assert not members.suspects.keys() - {"c"} and ("c", GONE) not in changed
+    members.tick(1_200 + members.patience())
+    assert ("c", GONE) in changed and not members.suspects
+    assert members.members["e"].state == ALIVE and "d" not in members.alive()
+
+
+def test_who_starts_greets_more_in_larger_fleets():
+    sent = []
+    for peers, greeted in ((5, 5), (100, 8), (200, 8), (455, 18), (1_000, 40)):
+        sent.clear()
+        Members("x", [f"n{i}" for i in range(peers)], 1, 100, 1, lambda to, item: sent.append(to),
+                lambda *a: None).greet()
+        assert len(set(sent)) == len(sent) == greeted
+
+
+@pytest.fixture
+def exchange():
+    made = Exchange("n0", ("127.0.0.1", 0), Counters(), lambda: made.at, lambda: (1, 1, 1, 1))
+    made.at = 10**9
+    yield made
+    made.close()
+
+
+def test_the_buckets_of_long_idle_addresses_are_freed(exchange):
+    for port in range(ADDRESSES_MOST + 100):
+        exchange._take(b"", ("10.0.0.1", port))
+    assert len(exchange.buckets) <= ADDRESSES_MOST + 1  # the rest share one
+    assert ("10.0.0.1", ADDRESSES_MOST + 50) not in exchange.buckets
+    exchange.at += BUCKET_IDLE
+    exchange._take(b"", ("10.0.0.1", 5))
+    exchange._take(b"", ("10.0.0.2", 1))
+    assert ("10.0.0.2", 1) in exchange.buckets and ("10.0.0.1", 5) in exchange.buckets
+    assert len(exchange.buckets) <= 3
+
+
+def test_made_up_addresses_neither_grow_without_bound_nor_shut_out_a_peer(exchange):
+    exchange.name_peers({"n1": ("127.0.0.1", 1)})
+    for port in range(20_000):
+        exchange.at += 10
+        exchange._take(b"", ("10.0.0.1", port))
+    assert len(exchange.buckets) <= ADDRESSES_MOST + 1 and exchange.counters.counts["fleet.flooded"] > 15_000
+    flooded = exchange.counters.counts["fleet.flooded"]
+    for _ in range(int(BURST)):
+        exchange._take(b"", ("127.0.0.1", 1))
+    assert exchange.counters.counts["fleet.flooded"] == flooded
+    exchange._take(b"", ("127.0.0.1", 1))
+    assert exchange.counters.counts["fleet.flooded"] == flooded + 1  # a peer has a bound as well
+    exchange.name_peers({"n1": ("127.0.0.1", 2)})
+    assert list(exchange.of_peers) == [("127.0.0.1", 2)]
+
+
+def test_a_file_of_many_peers_is_read_at_once(tmp_path):
+    peers = [{"name": f"n{i}", "address": f"10.0.{i // 250}.{i % 250}:9000"} for i in range(600)]
+    path = tmp_path / "fleet.yaml"
+    path.write_text(yaml.safe_dump({"peers": peers, "voters": [{"version": 1, "names": ["n0", "n1", "n2"]}]}))
+    took = []
+    for _ in range(3):
+        began = time.process_time()
+        assert len(read_fleet(str(path)).peers) == 600
+        took.append(time.process_time() - began)
+    assert min(took) < 0.5
