Control plane: the replicas' guards, each seen to be needed, and random worlds

Need: a replica's guards have to be seen to hold and to be needed. Change: scenes of 17 guards, each with and without; Hypothesis worlds of 3 and 5 replicas.

--- /dev/null
+++ b/tests/test_controlplane_replica.py
@@ -0,0 +1,417 @@
+"""Replicas of the fleet's history: each guard is seen to be needed, and random worlds keep one history."""
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from replicas import SECOND, Fault, World, engine
+
+from cypressledge.controlplane import replica as module
+from cypressledge.controlplane.history import pack
+from cypressledge.controlplane.messages import Append, Denied, Install
+from cypressledge.controlplane.replica import Clash, HistoryError, Loaded, NotPrimary, Replica
+from cypressledge.controlplane.state import FleetState, StateError
+
+
+def begun(kind, among="abc", names="abc", mute=0):
+    """`a` leads in epoch 1, and these have its first version."""
+    w = World(names, kind, mute)
+    w.lease("a", 1)
+    w.run(among)
+    assert w.up["a"].role == "primary"
+    return w
+
+
+def opening(message):
+    """The first entry of an epoch, or what follows it."""
+    return isinstance(message, Append) and any(not c.ops for c in message.changes)
+
+
+def one_epoch_two_runs(kind):
+    w = begun(kind)
+    w.lease("a", 2)
+    w.run("ab")
+    w.lease("c", 2)
+    w.run("bc")
+    w.propose("a", "x")
+    w.run("abc")
+
+
+def an_old_primary_speaks(kind):
+    w = begun(kind)
+    w.lease("b", 2)
+    w.run("bc")
+    w.propose("a", "x")
+    w.run("ac")
+
+
+def a_tail_of_an_old_epoch(kind):
+    w = begun(kind)
+    w.propose("a", "x")
+    w.propose("a", "y")
+    w.run("")
+    w.crash("a")
+    w.lease("b", 2)
+    w.run("bc")
+    w.propose("b", "z")
+    w.run("bc")
+    w.start("a")
+    w.lease("b", 3)
+    w.run("bc")
+    w.pass_time(SECOND, "abc")
+
+
+def committed_behind_a_tail(kind):
+    w = begun(kind)
+    w.propose("a", "x")
+    w.propose("a", "y")
+    w.run("")
+    w.crash("a")
+    w.lease("b", 2)
+    w.run("bc")
+    w.start("a")
+    w.up["b"].progress["a"].end = 2  # an Append to a is out: only signs of life go there
+    w.up["b"].progress["a"].resend = 1 << 60
+    w.pass_time(SECOND, "abc")
+
+
+def an_older_epoch_counted(kind):
+    """Figure 8 of Raft's paper."""
+    w = begun(kind, "abcde", "abcde")
+    w.propose("a", "x", engine("x", 1_200))  # so large that it goes alone
+    w.run("ab")
+    w.crash("a")
+    w.lease("e", 2)
+    w.run("cde", opening)
+    w.crash("e")
+    w.start("a")
+    w.lease("a", 3)
+    w.run("abc", opening)
+    w.crash("a")
+    w.start("e")
+    w.lease("e", 4)
+    w.run("bcde")
+
+
+def a_word_after_the_lease(kind):
+    w = begun(kind)
+    w.lease("a", 1, w.now + 10)
+    ticket = w.propose("a", "x")
+    w.now += 10
+    w.run("abc")
+    assert ticket.state == "unknown"
+
+
+def a_lost_disk_counted_for_a_promise(kind):
+    w = begun(kind)
+    w.propose("a", "x")
+    w.run("ab")
+    w.crash("a")
+    w.lose_disk("b")
+    w.lease("c", 2)
+    w.pass_time(SECOND, "bc")
+    w.start("a")
+    w.pass_time(2 * SECOND, "abc")
+    assert w.up["c"].role == "primary" and w.requests == {"x": 2}
+
+
+def an_empty_disk_counted(kind):
+    """As above, but the operator said --first."""
+    w = begun(kind)
+    w.propose("a", "x")
+    w.run("ab")
+    w.crash("a")
+    w.lose_disk("b")
+    w.crash("b")
+    w.disks["b"].kept = Loaded()
+    w.start("b")
+    w.lease("c", 2)
+    w.pass_time(SECOND, "bc")
+
+
+def a_lost_disk_counted_for_an_entry(kind):
+    w = begun(kind)
+    w.lease("a", 2)
+    w.run("ac", opening)
+    w.lease("c", 3)
+    w.run("bc", opening)  # c has b's promise, and b loses it
+    w.lose_disk("b")
+    w.pass_time(SECOND, "ab")
+    w.pass_time(2 * SECOND, "bc")
+
+
+def full_again_too_early(kind):
+    w = begun(kind)
+    w.lease("a", None)
+    w.lease("b", 2)
+    w.run("abc")
+    w.propose("b", "x")
+    w.run("ab", lambda m: isinstance(m, Append) and m.commit > 2)
+    w.lose_disk("b")
+    w.lease("a", 3)
+    w.run("ac", opening)
+    w.pass_time(2 * SECOND, "ab", lambda m: isinstance(m, Append) and m.changes)
+    w.crash("a")
+    w.lease("c", 4)
+    w.pass_time(SECOND, "bc")
+
+
+def a_lost_promise(kind):
+    w = begun(kind, mute=5 * SECOND)
+    w.lease("c", 2, w.now + 5 * SECOND)
+    w.run("bc", opening)
+    w.lose_disk("b")
+    w.propose("a", "x")
+    w.pass_time(4 * SECOND, "ab")
+    w.pass_time(4 * SECOND, "bc")
+
+
+def disks_put_back(kind):
+    w = begun(kind)
+    old = {n: w.disks[n].load() for n in "bc"}
+    w.propose("a", "x")
+    w.propose("a", "y")
+    w.run("abc")
+    for name in "abc":
+        w.crash(name)
+    for name in "bc":
+        w.disks[name].kept = old[name]
+        w.start(name)
+    w.truth.clear()  # what was acknowledged is lost by now
+    w.lease("b", 2)
+    w.run("bc")
+    w.start("a")
+    w.truth.clear()
+    w.lease("b", 3)
+    w.pass_time(SECOND, "ab")
+    assert w.up["b"].role == "recovering" and w.events.count(("b", "history_behind")) == 1
+
+
+def less_than_a_majority(kind):
+    w = begun(kind)
+    w.propose("a", "x")
+    w.run("ab")
+    w.lease("c", 2)
+    w.run("c")
+    w.run("abc")
+    w.pass_time(SECOND, "bc")
+
+
+def another_history(kind):
+    w = begun(kind)
+    other = FleetState("of another fleet")
+    other.epoch = 5
+    other.apply(other.draft(5, engine("x")))
+    w.call("c", lambda: w.up["c"].receive(w.now, "b", Install(5, pack(other.snapshot()), 1)))
+    if w.up["c"].lineage != "of a":
+        raise Fault("a history has been taken in place of another")
+    assert ("c", "lineage") in w.events and w.net.pop() == ("c", "b", Denied(5, "lineage"))
+
+
+def a_request_repeated(kind):
+    w = begun(kind)
+    first = w.propose("a", "x")
+    w.propose("a", "x")
+    w.run("abc")
+    w.lease("b", 2)
+    w.run("abc")
+    again = w.propose("b", "x", [])
+    w.run("abc")
+    assert (again.version, again.state) == (first.version, "done")
+
+
+def a_promise_not_kept(kind):
+    w = begun(kind)
+    w.lease("c", 2)
+    w.run("bc", opening)
+    w.crash("b")
+    w.start("b")
+    w.propose("a", "x")
+    w.run("ab")
+    w.pass_time(2 * SECOND, "bc")
+
+
+def an_entry_not_kept(kind):
+    w = begun(kind)
+    w.propose("a", "x")
+    w.run("ab")
+    w.crash("a")
+    w.crash("b")
+    w.start("b")
+    w.lease("c", 2)
+    w.run("bc")
+
+
+def memory_promise(self, epoch, run):
+    self.promised = (epoch, run)
+    return True
+
+
+def memory_entries(self, step, *args):
+    return step in ("append", "commit") and self.role == "standby" or Replica._durable(self, step, *args)
+
+
+def counts_all(self):
+    return self.promises
+
+
+def counts_empty(self):
+    return {v: p for v, p in self.promises.items() if not p.joining}
+
+
+# What happens, and the guard without which it goes wrong.
+GUARDS = [
+    (one_epoch_two_runs, "_may_promise", lambda self, epoch, run: True),
+    (an_old_primary_speaks, "_stale", lambda self, epoch: False),
+    (a_tail_of_an_old_epoch, "_fits", lambda self, epoch, version: self.log.epoch_at(version) is not None),
+    (committed_behind_a_tail, "_covered", lambda self, commit, held: min(commit, self.log.last[1])),
+    (an_older_epoch_counted, "_own", lambda self, version: True),
+    (a_word_after_the_lease, "_leased", lambda self, now: True),
+    (a_lost_disk_counted_for_a_promise, "_counted", counts_all),
+    (an_empty_disk_counted, "_counted", counts_empty),
+    (a_lost_disk_counted_for_an_entry, "_held",
+     lambda self, v: self.log.last[1] if v == self.name else self.progress[v].match),
+    (full_again_too_early, "_caught_up", lambda self, epoch, commit: commit <= self.commit),
+    (a_lost_promise, "_muted", lambda self, now: False),
+    (disks_put_back, "_behind", lambda self, newest: False),
+    (less_than_a_majority, "_enough", lambda self, count: True),
+    (another_history, "_kin", lambda self, lineage: True),
+    (a_request_repeated, "_known", lambda self, request: None),
+    (a_promise_not_kept, "_promise", memory_promise),
+    (an_entry_not_kept, "_durable", memory_entries),
+]
+
+
+@pytest.mark.parametrize(("scene", "guard", "without"), GUARDS, ids=[g[0].__name__ for g in GUARDS])
+def test_guard_holds_and_is_needed(scene, guard, without):
+    scene(Replica)
+    with pytest.raises(Fault) as found:
+        scene(type("Without", (Replica,), {guard: without}))
+    print(f"without {guard}: {found.value}")
+
+
+def test_what_is_committed_is_never_dropped():
+    w = begun(Replica)
+    w.propose("a", "x")
+    w.run("abc")
+    w.pass_time(SECOND, "abc")
+    state = FleetState("of a")
+    state.epoch, state.version = 1, 1
+    other = state.draft(9, engine("y"))
+    with pytest.raises(HistoryError):
+        w.up["b"].receive(w.now, "c", Append(9, 1, 1, [other], 1))
+    unguarded = type("Without", (Replica,), {"_droppable": lambda self, after: True})
+    w.crash("b")
+    w.kind = unguarded
+    w.start("b")
+    w.up["b"].receive(w.now, "c", Append(9, 1, 1, [other], 1))
+    assert w.up["b"].log.last[1] < w.up["b"].commit  # without the guard: gone, unnoticed
+
+
+def test_refusals():
+    w = begun(Replica)
+    with pytest.raises(NotPrimary) as found:
+        w.up["b"].propose(w.now, engine("x"), 1, "r", "me", "", 0)
+    assert found.value.primary == "a"
+    a = w.up["a"]
+    a.propose(w.now, engine("x"), 1, "r", "me", "", 0)
+    with pytest.raises(Clash) as clash:
+        a.propose(w.now, engine("x"), 1, "s", "me", "", 0)
+    assert clash.value.keys == ["engine/x-0"]
+    with pytest.raises(StateError):
+        a.propose_own(w.now, engine("/"))
+    assert not w.up["b"].lease(w.now, 1, 1 << 60)  # the epoch was promised already: another token is needed
+
+
+def test_a_full_disk_costs_the_lead_and_nothing_else():
+    w = begun(Replica)
+    w.disks["b"].plan = ["full"]
+    ticket = w.propose("a", "x")
+    w.run("abc")
+    assert ticket.state == "done" and ("a", "voter_refuses") in w.events
+    w.disks["a"].plan = ["full"]
+    assert w.propose("a", "y").state == "unknown" and w.up["a"].role == "standby"
+    w.settle(5)
+
+
+def test_a_voter_far_behind_gets_a_snapshot(monkeypatch):
+    monkeypatch.setattr(module, "KEPT_MOST", 4)
+    w = begun(Replica)
+    w.crash("c")
+    for i in range(40):
+        w.propose("a", f"r{i}")
+        w.run("ab")
+    w.start("c")
+    w.pass_time(8 * SECOND, "abc")
+    assert w.up["c"].state.digest == w.up["a"].state.digest and w.up["c"].commit == 41
+    assert w.up["a"].log.base[1] > 20
+
+
+def test_a_lost_disk_comes_back():
+    w = begun(Replica, mute=5 * SECOND)
+    w.lose_disk("b")
+    w.propose("a", "x")
+    w.pass_time(4 * SECOND, "ab")
+    assert w.up["a"].commit == 1 and not w.up["b"].willing(w.now)
+    w.pass_time(8 * SECOND, "ab")
+    assert w.acked == {"x": 2} and not w.disks["b"].kept.joining
+    w.settle(5)
+
+
+def walk(numbers, names, kind=Replica):
+    """Each number is one thing that happens; then all is well again and one history must be there."""
+    w, token, count = World(names, kind), 0, 0
+    for number in numbers:
+        what, n = number % 64, number // 64
+        name = w.names[n % len(names)]
+        if what < 30:  # mostly in order
+            for _ in range(min(n // 16 % 6, len(w.net))):
+                w.deliver(min(n // 8 % 4, len(w.net) - 1) if n % 4 == 0 else 0)
+        elif what < 36:
+            w.run(w.names if n % 2 else name + w.names[n // 2 % len(names)])
+        elif what < 46:
+            count += 1
+            lead = [v for v, r in w.up.items() if r.role == "primary"]
+            request = f"r{count if n % 4 else max(count - 2, 0)}"  # some are repeated
+            w.propose(lead[n % len(lead)] if lead else name, request)
+        elif what < 50:
+            w.now += 300_000
+            for other in list(w.up):
+                w.call(other, lambda other=other: w.up[other].tick(w.now))
+        elif what < 53:
+            token += n % 4 > 0  # sometimes one that another has or had
+            w.lease(name, token, w.now + (n % 7 + 1) * SECOND)
+        elif what == 53:
+            w.lease(name, None)
+        elif what < 56 and w.net:
+            w.net.pop(n % len(w.net))
+        elif what < 58 and w.net:
+            w.deliver(n % len(w.net), keep=True)
+        elif what == 58:
+            w.crash(name)
+        elif what < 62 and name not in w.up:
+            w.start(name)
+        elif what == 62:
+            w.disks[name].plan = ["", "", "", ""][:n % 4] + [("before", "after", "full")[n // 4 % 3]]
+        elif what == 63:
+            w.net[:] = [m for m in w.net if name not in m[:2]]
+    w.settle(token + 1)
+    return w
+
+
+@pytest.mark.parametrize("names", ["abc", "abcde"])
+def test_random_worlds_keep_one_history(names):
+    seen = {"worlds": 0, "versions": 0, "acknowledged": 0, "epochs": 0}
+
+    @settings(max_examples=150, derandomize=True, deadline=None, database=None,
+              suppress_health_check=list(HealthCheck))
+    @given(st.lists(st.integers(0, 1 << 16), min_size=200, max_size=400))
+    def play(numbers):
+        w = walk(numbers, names)
+        seen["worlds"] += 1
+        seen["versions"] += len(w.truth)
+        seen["acknowledged"] += len(w.acked) - 1  # but for the last one, in peace
+        seen["epochs"] += len({epoch for epoch, *_ in w.truth.values()})
+
+    play()
+    print(seen)
+    assert seen["acknowledged"] > 300 and seen["epochs"] > 300
