Control plane: a garbled write-ahead log is refused

Need: sqlite drops all behind a damaged frame of its log without a word: durable steps would be lost quietly. Change: the log's frames are checked before the file is opened; more than one finished step behind damage is refused.

--- a/cypressledge/controlplane/store.py
+++ b/cypressledge/controlplane/store.py
@@ -3,10 +3,12 @@
 WAL with synchronous=FULL: a step is on the disk when its call returns, whole or not at all. What was cut off,
 garbled or mixed is found at the start and turned down: the file holds one snapshot and the changes behind
 it without a gap, all of them with digests (BLAKE2b-128, against faults and not forgers), up to a last version
-that another row names.
+that another row names. Two things can't be told from what a power cut leaves, and are an earlier state: a
+log without its end, and damage to the last step in it. Then, as when an old copy was put back: --rejoin.
 """
 
 import sqlite3
+import struct
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from hashlib import blake2b
@@ -51,6 +53,37 @@
     return blake2b(body, digest_size=16).digest()
 
 
+def _checksum(words: tuple[int, ...], sums: tuple[int, int]) -> tuple[int, int]:
+    """As in sqlite's file format, 4.2."""
+    a, b = sums
+    for i in range(0, len(words), 2):
+        a = a + words[i] + b & 0xffffffff
+        b = b + words[i + 1] + a & 0xffffffff
+    return a, b
+
+
+def steps_behind_damage(log: bytes) -> int:
+    """Finished steps in a write-ahead log from the first damaged frame on. sqlite drops them without a word;
+    but for one at the end, which a power cut may have torn, they had been durable."""
+    if len(log) < 56:
+        return 0
+    magic, _, page = struct.unpack_from(">III", log)
+    page = page if 512 <= page <= 1 << 16 else 4_096
+    order = ">" if magic & 1 else "<"
+    salt = log[40:48]  # of the first frame: the header itself may be damaged
+    sums = _checksum(struct.unpack_from(order + "6I", log), (0, 0))
+    whole, steps = sums == struct.unpack_from(">2I", log, 24) and salt == log[16:24], 0
+    for at in range(32, len(log) - page - 23, 24 + page):
+        if whole:
+            sums = _checksum(struct.unpack_from(order + "2I", log, at), sums)
+            sums = _checksum(struct.unpack_from(f"{order}{page // 4}I", log, at + 24), sums)
+            # What ends it for sqlite; another salt is what an earlier round of the log left there.
+            whole = sums == struct.unpack_from(">2I", log, at + 16) and log[at + 8:at + 16] == salt
+        if not whole and log[at + 8:at + 16] == salt and log[at + 4:at + 8] != bytes(4):
+            steps += 1
+    return steps
+
+
 def _no_fault(step: str) -> None:
     pass
 
@@ -72,6 +105,9 @@
         if new and any(Path(f"{path}{end}").exists() for end in ("-wal", "-journal")):
             # Guards against a log that belonged to the file that is lost: sqlite would take or drop it.
             raise StoreError(f"{path}: only a log of it is left. Move that away and start with --rejoin.")
+        log = Path(f"{path}-wal")
+        if log.exists() and steps_behind_damage(log.read_bytes()) > 1:
+            raise StoreError(self._damaged("its log is garbled"))
         try:
             self._open(new, bool(create))
             self._load()
@@ -83,7 +119,7 @@
             raise
         self._admit(create)
 
-    def _damaged(self, err: Exception) -> str:
+    def _damaged(self, err: Exception | str) -> str:
         if "locked" in str(err):
             return f"{self.path}: another process has it open. Stop that one first."
         return (f"{self.path}: damaged ({err}). Move it and its -wal file away and start with --rejoin, "
