--- a/tests/test_controlplane_replica.py
+++ b/tests/test_controlplane_replica.py
@@ -369,9 +369,34 @@
     w.settle(5)
 
 
-def walk(numbers, names, kind=Replica):
-    """Each number is one thing that happens; then all is well again and one history must be there."""
-    w, token, count = World(names, kind), 0, 0
+class Lease:
+    """The lease as it should be: one holder at a time, for two seconds, counted from before it asked."""
+
+    def __init__(self, world):
+        self.world, self.holder, self.token, self.until = world, "", 0, 0
+
+    def ask(self, name):
+        w = self.world
+        if name not in w.up or self.holder != name and w.now < self.until:
+            return
+        if self.holder != name or w.now >= self.until or w.up[name].role == "standby":
+            self.token += 1
+        self.holder, self.until = name, w.now + 2 * SECOND
+        w.lease(name, self.token, self.until)
+
+    def lose_disk(self, name):
+        """One at a time, and none before all have something: more is more than the method bears."""
+        w = self.world
+        if all(d.kept.base and d.kept.commit and not d.kept.joining for d in w.disks.values()):
+            w.net[:] = [m for m in w.net if name not in m[:2]]  # its connections end
+            w.lose_disk(name)
+
+
+def walk(numbers, names, kind=Replica, losses=False):
+    """Each number is one thing that happens; then all is well again and one history must be there. With
+    `losses` disks are lost too, and the lease is as it should be."""
+    w, token, count = World(names, kind, mute=3 * SECOND), 0, 0
+    lease = Lease(w)
     for number in numbers:
         what, n = number % 64, number // 64
         name = w.names[n % len(names)]
@@ -386,9 +411,12 @@
             request = f"r{count if n % 4 else max(count - 2, 0)}"  # some are repeated
             w.propose(lead[n % len(lead)] if lead else name, request)
         elif what < 50:
-            w.now += 300_000
+            w.now += 900_000 if losses else 300_000
             for other in list(w.up):
                 w.call(other, lambda other=other: w.up[other].tick(w.now))
+        elif losses and what < 54:
+            lease.ask(name)
+            token = lease.token
         elif what < 53:
             token += n % 4 > 0  # sometimes one that another has or had
             w.lease(name, token, w.now + (n % 7 + 1) * SECOND)
@@ -404,26 +432,29 @@
             w.start(name)
         elif what == 62:
             w.disks[name].plan = ["", "", "", ""][:n % 4] + [("before", "after", "full")[n // 4 % 3]]
+        elif losses and what == 63 and n % 2:
+            lease.lose_disk(name)
         elif what == 63:
             w.net[:] = [m for m in w.net if name not in m[:2]]
     w.settle(token + 1)
     return w
 
 
-@pytest.mark.parametrize("names", ["abc", "abcde"])
-def test_random_worlds_keep_one_history(names):
-    seen = {"worlds": 0, "versions": 0, "acknowledged": 0, "epochs": 0}
+@pytest.mark.parametrize(("names", "losses"), [("abc", False), ("abcde", False), ("abc", True)])
+def test_random_worlds_keep_one_history(names, losses):
+    seen = {"worlds": 0, "versions": 0, "acknowledged": 0, "epochs": 0, "joined": 0}
 
     @settings(max_examples=150, derandomize=True, deadline=None, database=None,
               suppress_health_check=list(HealthCheck))
     @given(st.lists(st.integers(0, 1 << 16), min_size=200, max_size=400))
     def play(numbers):
-        w = walk(numbers, names)
+        w = walk(numbers, names, losses=losses)
         seen["worlds"] += 1
         seen["versions"] += len(w.truth)
+        seen["joined"] += sum(event == "joined" for _, event in w.events)
         seen["acknowledged"] += len(w.acked) - 1  # but for the last one, in peace
         seen["epochs"] += len({epoch for epoch, *_ in w.truth.values()})
 
     play()
     print(seen)
-    assert seen["acknowledged"] > 300 and seen["epochs"] > 300
+    assert seen["acknowledged"] > 300 and seen["epochs"] > 300 and (seen["joined"] > 50 or not losses)
