--- a/tests/test_controlplane_replica.py
+++ b/tests/test_controlplane_replica.py
@@ -1,5 +1,7 @@
 """Replicas of the fleet's history: each guard is seen to be needed, and random worlds keep one history."""
 
+import struct
+
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
@@ -446,9 +448,9 @@
 
     @settings(max_examples=150, derandomize=True, deadline=None, database=None,
               suppress_health_check=list(HealthCheck))
-    @given(st.lists(st.integers(0, 1 << 16), min_size=200, max_size=400))
-    def play(numbers):
-        w = walk(numbers, names, losses=losses)
+    @given(st.binary(min_size=500, max_size=900))
+    def play(raw):
+        w = walk(struct.unpack(f">{len(raw) // 2}H", raw[:len(raw) // 2 * 2]), names, losses=losses)
         seen["worlds"] += 1
         seen["versions"] += len(w.truth)
         seen["joined"] += sum(event == "joined" for _, event in w.events)
