--- a/cypressledge/cli.py
+++ b/cypressledge/cli.py
@@ -295,3 +295,14 @@
     from cypressledge.lab.virtual import report
 
     report(brokers, leases_, voters, seconds, seed, click.echo)
+
+
+@lab.command()
+@click.option("--json", "path", required=True, type=click.Path(dir_okay=False), help="The results file.")
+@click.option("--quick", is_flag=True, help="Few and small points, under a minute: for tests, not for pages.")
+@click.option("--seed", default=1, show_default=True)
+def slopes(path: str, quick: bool, seed: int) -> None:
+    """What each part of the program costs against the fleet's size, with fits, as a results file."""
+    from cypressledge.lab.slopes import run
+
+    sys.exit(run(path, quick, seed, click.echo))
--- /dev/null
+++ b/cypressledge/lab/results.py
@@ -0,0 +1,115 @@
+"""Files of measured slopes: JSON by msgspec's structs, each slope with what it takes to measure it again."""
+
+import os
+import subprocess
+from datetime import UTC, datetime
+from pathlib import Path
+
+import msgspec
+
+from cypressledge.lab.fits import Fit, best
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+class ResultsError(Exception):
+    """A results file that can't be used; its text is one plain line."""
+
+
+class Source(msgspec.Struct, frozen=True):
+    """Where figures come from. `load_average`: of the machine, over one minute, as the measurement began."""
+
+    seed: int
+    commit: str
+    date: str
+    load_average: float
+    command: str
+
+
+class Slope(msgspec.Struct, frozen=True):
+    """Measured points of y over x. `role`: whose y it is; `what`: y in words; `unit`: of y."""
+
+    name: str
+    role: str
+    what: str
+    unit: str
+    x: str
+    points: list[tuple[float, float]]
+    fit: Fit
+    source: Source
+
+    @property
+    def residual(self) -> float:
+        """The fit's, as a part of the mean y."""
+        return self.fit.residual
+
+    def at(self, x: float) -> tuple[float, bool]:
+        """y at x, and whether it was measured there; the fit's otherwise."""
+        for px, y in self.points:
+            if px == x:
+                return y, True
+        return self.fit.at(x), False
+
+
+class Fact(msgspec.Struct, frozen=True):
+    """A single figure that is measured but no slope."""
+
+    name: str
+    what: str
+    value: float
+    unit: str
+    source: Source
+
+
+class Results(msgspec.Struct):
+    """One file. `quick`: with fewer and smaller points, for tests; no figure of such a file is for a page."""
+
+    quick: bool
+    slopes: list[Slope] = []
+    facts: list[Fact] = []
+
+
+def source(seed: int, command: str) -> Source:
+    """What is to be said of a measurement that begins now. A tree that differs from its commit says so."""
+    def git(*words: str) -> str:
+        return subprocess.run(["git", *words], cwd=ROOT, capture_output=True, text=True).stdout.strip()
+
+    commit = git("rev-parse", "--short=10", "HEAD") or "unknown"
+    if git("status", "--porcelain", "--", "cypressledge"):
+        commit += "+changes"
+    date = datetime.now(UTC).isoformat(timespec="seconds")
+    return Source(seed, commit, date, round(os.getloadavg()[0], 2), command)
+
+
+def slope(name: str, role: str, what: str, unit: str, x: str, points: list[tuple[float, float]],
+          told: Source) -> Slope:
+    """A slope with its fit, points in order of x."""
+    points = sorted((float(a), float(f"{b:.6g}")) for a, b in points)
+    return Slope(name, role, what, unit, x, points, best(points), told)
+
+
+def write(path: str, results: Results) -> None:
+    """Write the file, readable by eye and by diff."""
+    raw = msgspec.json.format(msgspec.json.encode(results), indent=1)
+    Path(path).write_bytes(raw + b"\n")
+
+
+def read(paths: list[str]) -> Results:
+    """All files as one. Raises `ResultsError` with one line that names the file and the mistake."""
+    slopes: dict[str, Slope] = {}
+    facts: dict[str, Fact] = {}
+    quick = False
+    for path in paths:
+        try:
+            told = msgspec.json.decode(Path(path).read_bytes(), type=Results)
+        except OSError as err:
+            raise ResultsError(f"{path}: {err.strerror}") from None
+        except msgspec.MsgspecError as err:
+            raise ResultsError(f"{path} is no results file: {err}") from None
+        for known, new in ((slopes, told.slopes), (facts, told.facts)):
+            for one in new:
+                if one.name in known:
+                    raise ResultsError(f"{path}: {one.name} is there twice")
+                known[one.name] = one
+        quick = quick or told.quick
+    return Results(quick, list(slopes.values()), list(facts.values()))
