--- a/cypressledge/cli.py
+++ b/cypressledge/cli.py
@@ -306,3 +306,20 @@
     from cypressledge.lab.slopes import run
 
     sys.exit(run(path, quick, seed, click.echo))
+
+
+@lab.command("capacity-page")
+@click.option("--results", "paths", multiple=True, required=True, type=click.Path(dir_okay=False),
+              help="Files of slopes, and of runs at scale; scale.json beside the first is read by itself.")
+@click.option("--page", required=True, type=click.Path(dir_okay=False), help="Whose tables are written.")
+@click.option("--check", is_flag=True, help="Write nothing; exit 1 where page and results differ.")
+@click.option("--plots", "folder", default="", help="Draw each slope into this folder (needs matplotlib).")
+def capacity_page(paths: tuple[str, ...], page: str, check: bool, folder: str) -> None:
+    """Write the tables of a page anew from results files."""
+    from cypressledge.lab.capacity_page import run
+    from cypressledge.lab.results import ResultsError
+
+    try:
+        sys.exit(run(list(paths), page, check, folder, click.echo))
+    except ResultsError as err:
+        raise click.ClickException(str(err)) from None
--- /dev/null
+++ b/cypressledge/lab/capacity_page.py
@@ -0,0 +1,259 @@
+"""Writes the tables of docs/CAPACITY.md anew from results files, so that figures and page can't part.
+
+A table stands between `<!-- table:NAME -->` and `<!-- end -->`; all else on the page is written by hand.
+"""
+
+import json
+import re
+from collections.abc import Callable
+from numbers import Real
+from pathlib import Path
+
+import msgspec
+from tabulate import tabulate
+
+from cypressledge.lab.capacity_needs import (
+    BROKERS, CONTROL, CPU, DIRECTORY, ENGINE, FAILURES, MACHINES, MEMORY, NET, PLANNER, PRIMARY, REQUEST,
+    VOTER, Line, lines,
+)
+from cypressledge.lab.fits import best
+from cypressledge.lab.results import Results, ResultsError, read
+
+MARK = re.compile(r"(<!-- table:([a-z-]+) -->\n).*?(<!-- end -->)", re.S)
+SCALE = "scale.json"  # beside the first results file
+SIZES_LEAST = 3  # sizes of a fleet from which a fit is shown
+BY_ROLE = {"request-path": REQUEST, "control-part": CONTROL, "voter": VOTER, "planner": PLANNER,
+           "primary": PRIMARY, "control-machines": MACHINES, "directory": DIRECTORY, "engine": ENGINE,
+           "failures": FAILURES}
+LIMITS = {"broker_cpu_pct": CPU, "broker_net_kb_s": NET, "broker_rss_mb": MEMORY}
+FITTED = ("cpu", "kb_s", "rss", "_mb")  # parts of names of figures that grow with the fleet
+
+
+def number(value: object) -> str:
+    """A figure as the page shows it: four digits that count, thousands set apart."""
+    if isinstance(value, bool) or not isinstance(value, Real):
+        return "" if value is None else str(value)
+    if float(value).is_integer() and abs(value) < 1e9:
+        return f"{int(value):,}"
+    if abs(value) >= 1_000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def table(heads: list[str], rows: list[list]) -> str:
+    """A table of the page."""
+    told = [[number(cell).replace("|", "/").replace("\n", " ") for cell in row] for row in rows]
+    return tabulate(told, heads, tablefmt="github", disable_numparse=True)
+
+
+# Tables of measured slopes
+
+
+def needs_table(told: list[Line]) -> str:
+    """Needs of one role."""
+    return table(
+        ["what", "need", "unit", "limit", "need/limit", "limit from", "basis", "slopes", "carried by"],
+        [[line.need.what, line.value, line.need.unit, "-" if line.limit is None else line.limit,
+          "-" if line.ratio is None else f"{line.ratio:.2f}", line.need.limit_words, line.basis,
+          ", ".join(line.sources) or "-", line.need.carried] for line in told])
+
+
+def first_table(told: list[Line]) -> str:
+    """What is over its limit, the furthest first."""
+    over = [line for line in told if line.ratio is not None and line.ratio > 1]
+    over.sort(key=lambda line: -line.ratio)
+    return table(["need/limit", "role", "what", "need", "limit", "unit", "basis", "carried by"],
+                 [[f"{line.ratio:.1f}", line.need.role, line.need.what, line.value, line.limit,
+                   line.need.unit, line.basis, line.need.carried] for line in over])
+
+
+def missing_table(told: list[Line]) -> str:
+    """Each thing that is missing: how many figures it fails, and the furthest over."""
+    by_name: dict[str, list[Line]] = {}
+    for line in told:
+        if "missing: " in line.need.carried:
+            by_name.setdefault(line.need.carried.partition("missing: ")[2], []).append(line)
+    rows = []
+    for name, wanting in by_name.items():
+        over = [line for line in wanting if line.ratio is not None and line.ratio > 1]
+        most = max(over, key=lambda line: line.ratio, default=None)
+        rows.append([name, f"{len(over)} of {len(wanting)}", most.ratio if most else 0.0,
+                     f"{most.need.role}: {most.need.what}" if most else "-"])
+    rows.sort(key=lambda row: -row[2])
+    return table(["missing", "figures over their limit", "furthest", "which"],
+                 [[name, count, f"{most:.1f}" if most else "-", which] for name, count, most, which in rows])
+
+
+def slopes_table(results: Results) -> str:
+    """All slopes with points and fits."""
+    return table(
+        ["slope", "what", "unit", "over", "points", "fit", "residual"],
+        [[s.name, s.what, s.unit, s.x, "; ".join(f"{number(x)}: {number(y)}" for x, y in s.points),
+          f"{s.fit.kind}: {s.fit.words('x')}", f"{s.residual:.1%}"] for s in results.slopes])
+
+
+def facts_table(results: Results) -> str:
+    """All single figures."""
+    rows = [[fact.name, fact.what, fact.value, fact.unit] for fact in results.facts]
+    return table(["fact", "what", "value", "unit"], rows)
+
+
+def sources_table(results: Results) -> str:
+    """Which run gave which figures."""
+    by_source: dict = {}
+    for one in (*results.slopes, *results.facts):
+        by_source.setdefault(msgspec.json.encode(one.source), (one.source, []))[1].append(one.name)
+    return table(["figures", "command", "seed", "commit", "date", "load average"],
+                 [[f"{names[0]} to {names[-1]} ({len(names)})", f"`{s.command}`", s.seed, s.commit, s.date,
+                   s.load_average] for s, names in by_source.values()])
+
+
+# Tables of the scale run
+
+
+def flat(told: dict, before: str = "") -> dict:
+    """An object's keys, those of objects within it joined with a dot."""
+    found = {}
+    for key, value in told.items():
+        if isinstance(value, dict):
+            found |= flat(value, f"{before}{key}.")
+        else:
+            found[before + key] = json.dumps(value) if isinstance(value, list) else value
+    return found
+
+
+def read_scale(path: str) -> list[dict]:
+    """A list of runs. Raises `ResultsError` with one line."""
+    try:
+        told = json.loads(Path(path).read_bytes())
+    except OSError as err:
+        raise ResultsError(f"{path}: {err.strerror}") from None
+    except ValueError as err:
+        raise ResultsError(f"{path} is no JSON: {err}") from None
+    if not isinstance(told, list) or not all(isinstance(run, dict) and "brokers" in run for run in told):
+        raise ResultsError(f"{path} is no list of runs, each an object with `brokers`")
+    return [flat(run) for run in told]
+
+
+def scale_table(runs: list[dict]) -> str:
+    """The runs, keys as they are given."""
+    if not runs:
+        return f"No run yet: there is no `{SCALE}` beside the slopes."
+    keys = list(dict.fromkeys(key for run in runs for key in run))
+    return table(keys, [[run.get(key) for key in keys] for run in runs])
+
+
+def control_table(runs: list[dict]) -> str:
+    """Fits of what a broker and a control process spend, against brokers, where there are enough sizes."""
+    keys = [key for key in dict.fromkeys(key for run in runs for key in run)
+            if any(part in key for part in FITTED)]
+    rows = []
+    for key in keys:
+        points = [(float(run["brokers"]), float(run[key])) for run in runs
+                  if isinstance(run.get(key), Real) and not isinstance(run.get(key), bool)]
+        if len({x for x, _ in points}) < SIZES_LEAST:
+            continue
+        fit, limit = best(points), LIMITS.get(key)
+        reached = any(x == BROKERS for x, _ in points)
+        rows.append([key, f"{fit.kind}: {fit.words('x')}", f"{fit.residual:.1%}", fit.at(BROKERS),
+                     "within the sizes run" if reached else "extrapolated", "-" if limit is None else limit,
+                     "-" if limit is None else f"{fit.at(BROKERS) / limit:.2f}"])
+    if not rows:
+        return f"No fit yet: fewer than {SIZES_LEAST} sizes of fleet have been run."
+    heads = ["figure", "fit over brokers", "residual", f"at {BROKERS}", "basis", "limit", "need/limit"]
+    return table(heads, rows)
+
+
+# The page
+
+
+def split(paths: list[str]) -> tuple[Results, list[dict]]:
+    """Slopes and runs: a file that holds a list holds runs; `scale.json` beside the first is read too."""
+    slopes, scale = [], []
+    for path in paths:
+        try:
+            begins = Path(path).read_bytes().lstrip()[:1]
+        except OSError as err:
+            raise ResultsError(f"{path}: {err.strerror}") from None
+        (scale if begins == b"[" else slopes).append(path)
+    beside = Path(paths[0]).parent / SCALE
+    if beside.exists() and str(beside) not in map(str, map(Path, scale)):
+        scale.append(str(beside))
+    results = read(slopes)
+    if results.quick:
+        raise ResultsError("the slopes were measured with --quick: no figures for a page")
+    return results, [run for path in scale for run in read_scale(path)]
+
+
+def tables(results: Results, runs: list[dict]) -> dict[str, Callable[[], str]]:
+    """All tables by name."""
+    told = lines(results)
+
+    def of_role(role: str) -> Callable[[], str]:
+        return lambda: needs_table([line for line in told if line.need.role == role])
+
+    return {
+        "first": lambda: first_table(told), "missing": lambda: missing_table(told),
+        "slopes": lambda: slopes_table(results), "facts": lambda: facts_table(results),
+        "sources": lambda: sources_table(results), "scale": lambda: scale_table(runs),
+        "control": lambda: control_table(runs), **{name: of_role(role) for name, role in BY_ROLE.items()}}
+
+
+def rendered(page: str, made: dict[str, Callable[[], str]]) -> str:
+    """The page with its tables written anew. Raises `ResultsError` for a mark of no table or no end."""
+    marks, whole = page.count("<!-- table:"), len(MARK.findall(page))
+    if not marks or marks != whole or marks != page.count("<!-- end -->"):
+        raise ResultsError(f"the page has {marks} marks of tables, {whole} of them with a name and an end")
+
+    def written(mark: re.Match) -> str:
+        if mark[2] not in made:
+            raise ResultsError(f"the page asks for a table {mark[2]}; there are {', '.join(sorted(made))}")
+        return f"{mark[1]}\n{made[mark[2]]()}\n\n{mark[3]}"
+
+    return MARK.sub(written, page)
+
+
+def plots(results: Results, folder: str) -> int:
+    """Draw each slope with its fit, and its limit where one of the needs has it; how many were drawn."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    limits = {name: line.limit for line in lines(results) if line.need.plain and line.limit is not None
+              for name in line.sources}
+    Path(folder).mkdir(parents=True, exist_ok=True)
+    for s in results.slopes:
+        figure, axis = pyplot.subplots(figsize=(6, 4))
+        xs = [x for x, _ in s.points]
+        most = max(xs[-1], {"engines": 490, "brokers": 460, "client connections": 2_610}.get(s.x, xs[-1]))
+        grid = [xs[0] + (most - xs[0]) * i / 100 for i in range(101)]
+        axis.plot(grid, [s.fit.at(x) for x in grid], "--", label=f"{s.fit.kind} fit, off by {s.residual:.1%}")
+        axis.plot(xs, [y for _, y in s.points], "o", label="measured")
+        if s.name in limits:
+            axis.axhline(limits[s.name], color="red", label=f"limit {number(limits[s.name])}")
+        axis.set(title=f"{s.name}: {s.what}"[:70], xlabel=s.x, ylabel=s.unit)
+        axis.title.set_fontsize(8)
+        axis.legend(fontsize=8)
+        figure.savefig(Path(folder) / f"{s.name}.png", dpi=80)
+        pyplot.close(figure)
+    return len(results.slopes)
+
+
+def run(paths: list[str], page: str, check: bool, folder: str, say: Callable[[str], None]) -> int:
+    """Write the page's tables, or only compare: 1 where they differ. Raises `ResultsError`."""
+    results, runs = split(paths)
+    made = tables(results, runs)
+    try:
+        before = Path(page).read_text(encoding="utf-8")
+    except OSError as err:
+        raise ResultsError(f"{page}: {err.strerror}") from None
+    after = rendered(before, made)
+    if folder:
+        say(f"{plots(results, folder)} slopes drawn in {folder}")
+    if check:
+        say(f"{page} is as the results say" if after == before else f"{page} differs from its results files")
+        return int(after != before)
+    Path(page).write_text(after, encoding="utf-8")
+    say(f"{page}: {len(MARK.findall(after))} tables written")
+    return 0
