Lab: a capacity line says from which size of fleet it passes its limit

Need: which mechanism is missing first is asked of a fleet that grows, not only of its ratios at the end. Change: needs are reckoned for any part of the target; points are joined by straight lines within the measured range, the fit counts beyond it; the commit in a results file is that of the run's start.

--- a/cypressledge/lab/capacity_page.py
+++ b/cypressledge/lab/capacity_page.py
@@ -52,8 +52,9 @@
 def needs_table(told: list[Line]) -> str:
     """Needs of one role."""
     return table(
-        ["what", "need", "unit", "limit", "need/limit", "limit from", "basis", "slopes", "carried by"],
-        [[line.need.what, line.value, line.need.unit, "-" if line.limit is None else line.limit,
+        ["of", "what", "need", "unit", "limit", "need/limit", "limit from", "basis", "slopes", "carried by"],
+        [[line.need.kind, line.need.what, line.value, line.need.unit,
+          "-" if line.limit is None else line.limit,
           "-" if line.ratio is None else f"{line.ratio:.2f}", line.need.limit_words, line.basis,
           ", ".join(line.sources) or "-", line.need.carried] for line in told])
 
@@ -62,9 +63,10 @@
     """What is over its limit, the furthest first."""
     over = [line for line in told if line.ratio is not None and line.ratio > 1]
     over.sort(key=lambda line: -line.ratio)
-    return table(["need/limit", "role", "what", "need", "limit", "unit", "basis", "carried by"],
-                 [[f"{line.ratio:.1f}", line.need.role, line.need.what, line.value, line.limit,
-                   line.need.unit, line.basis, line.need.carried] for line in over])
+    return table(["need/limit", "passed from brokers", "role", "what", "need", "limit", "unit", "basis",
+                  "carried by"],
+                 [[f"{line.ratio:.1f}", round(line.reached) or "any", line.need.role, line.need.what,
+                   line.value, line.limit, line.need.unit, line.basis, line.need.carried] for line in over])
 
 
 def missing_table(told: list[Line]) -> str:
@@ -77,11 +79,14 @@
     for name, wanting in by_name.items():
         over = [line for line in wanting if line.ratio is not None and line.ratio > 1]
         most = max(over, key=lambda line: line.ratio, default=None)
-        rows.append([name, f"{len(over)} of {len(wanting)}", most.ratio if most else 0.0,
-                     f"{most.need.role}: {most.need.what}" if most else "-"])
-    rows.sort(key=lambda row: -row[2])
-    return table(["missing", "figures over their limit", "furthest", "which"],
-                 [[name, count, f"{most:.1f}" if most else "-", which] for name, count, most, which in rows])
+        first = min(over, key=lambda line: line.reached, default=None)
+        rows.append([first.reached if first else float("inf"), name, f"{len(over)} of {len(wanting)}",
+                     f"{most.ratio:.1f}, {most.need.role}: {most.need.what}" if most else "-",
+                     f"{round(first.reached) or 'any'}, {first.need.role}: {first.need.what}" if first
+                     else "-"])
+    rows.sort(key=lambda row: row[0])
+    return table(["missing", "figures over their limit", "furthest over", "passed first, from brokers"],
+                 [row[1:] for row in rows])
 
 
 def slopes_table(results: Results) -> str:
--- a/cypressledge/lab/results.py
+++ b/cypressledge/lab/results.py
@@ -3,7 +3,10 @@
 import os
 import subprocess
 from datetime import UTC, datetime
+from functools import cache
+from itertools import pairwise
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 
@@ -12,6 +15,9 @@
 ROOT = Path(__file__).parent.parent.parent
 
 
+Basis = Literal["measured", "interpolated", "extrapolated"]
+
+
 class ResultsError(Exception):
     """A results file that can't be used; its text is one plain line."""
 
@@ -43,12 +49,13 @@
         """The fit's, as a part of the mean y."""
         return self.fit.residual
 
-    def at(self, x: float) -> tuple[float, bool]:
-        """y at x, and whether it was measured there; the fit's otherwise."""
-        for px, y in self.points:
-            if px == x:
-                return y, True
-        return self.fit.at(x), False
+    def at(self, x: float) -> tuple[float, Basis]:
+        """y at x: a point's, between two points on the straight line, beyond them the fit's."""
+        for (x0, y0), (x1, y1) in pairwise(self.points):
+            if x0 <= x <= x1:
+                y = y0 + (y1 - y0) * (x - x0) / (x1 - x0)
+                return y, "measured" if x in (x0, x1) else "interpolated"
+        return self.fit.at(x), "extrapolated"
 
 
 class Fact(msgspec.Struct, frozen=True):
@@ -69,16 +76,21 @@
     facts: list[Fact] = []
 
 
-def source(seed: int, command: str) -> Source:
-    """What is to be said of a measurement that begins now. A tree that differs from its commit says so."""
+@cache
+def commit() -> str:
+    """The commit that this process began with: what is changed while it runs is not what it runs. A tree that
+    differs from its commit says so."""
     def git(*words: str) -> str:
         return subprocess.run(["git", *words], cwd=ROOT, capture_output=True, text=True).stdout.strip()
 
-    commit = git("rev-parse", "--short=10", "HEAD") or "unknown"
-    if git("status", "--porcelain", "--", "cypressledge"):
-        commit += "+changes"
+    changed = git("status", "--porcelain", "--", "cypressledge")
+    return (git("rev-parse", "--short=10", "HEAD") or "unknown") + ("+changes" if changed else "")
+
+
+def source(seed: int, command: str) -> Source:
+    """What is to be said of a measurement that begins now."""
     date = datetime.now(UTC).isoformat(timespec="seconds")
-    return Source(seed, commit, date, round(os.getloadavg()[0], 2), command)
+    return Source(seed, commit(), date, round(os.getloadavg()[0], 2), command)
 
 
 def slope(name: str, role: str, what: str, unit: str, x: str, points: list[tuple[float, float]],
