--- a/cypressledge/lab/capacity_needs.py
+++ b/cypressledge/lab/capacity_needs.py
@@ -27,6 +27,7 @@
 NEEDED_SOCKETS = CLIENTS * 5 // 3 + OWN_SOCKETS + 1  # clients get three fifths of them
 SIGHT_ENGINES = 64  # fleet/evidence.py: engines that a sight names
 NETWORK = 125_000.0  # KB/s of a machine's link of 1 Gbit/s, assumed
+RACK = 20  # brokers in a rack, assumed
 OTHERS = (ZONES - 1) / ZONES  # brokers and engines that stay when a zone is lost
 
 FIRM = ("measured", "interpolated", "extrapolated")  # the firmest first
@@ -263,6 +264,10 @@
          HISTORY),
     Need(MACHINES, "state", "machines set aside; in use by the program", "machines", lambda b: 0.0, 8.0,
          "the target", "missing: no control process apart from brokers"),
+    Need(MACHINES, "network", "the planner's sights there, something fails everywhere", "KB/s",
+         _sights_in(SIGHTS_BAD), NETWORK, "a link of 1 Gbit/s, assumed", OWN_MACHINE),
+    Need(MACHINES, "processor", "the planner's acts and sights there, a zone lost", "% of a core",
+         _planner_core(SIGHTS_BAD, "planner_lost_ms"), 100.0, "one core, one thread", OWN_MACHINE),
     Need(DIRECTORY, "state", "the list in one answer", "bytes", lambda b: b.at("directory_bytes", b.engines),
          float(ANSWER), "the platform's page", HISTORY, True),
     Need(DIRECTORY, "state", "engines in one DNS message", "engines", lambda b: b.engines,
@@ -277,6 +282,13 @@
     Need(ENGINE, "sockets", "connections of all brokers", "connections", _links_each, None,
          "none set by a site",
          SHARE),
+    Need(FAILURES, "sockets", "machine lost: clients that come anew to each other broker", "connections",
+         lambda b: CLIENTS / max(b.brokers - 1, 1), None, "none set", "stands"),
+    Need(FAILURES, "processor", "engine lost or back: its list read, all brokers together", "s of a core",
+         lambda b: b.at("directory_read_ms", b.engines) * b.brokers / 1000, None, "none set", HISTORY),
+    Need(FAILURES, "sockets", "rack lost, 20 brokers: clients that come anew to each other broker",
+         "connections", lambda b: CLIENTS * RACK / max(b.brokers - RACK, RACK), None, "none set",
+         "stands: the site's `sockets`"),
     Need(FAILURES, "time", "zone lost: all others hold its brokers for gone", "s",
          lambda b: b.at("members_noticed_s", b.brokers), None, "none set", "stands", True),
     Need(FAILURES, "time", "zone lost: all 50 leases held again", "s",
@@ -294,7 +306,9 @@
     Need(FAILURES, "processor", "zone lost: the module at 667 statements/s, three fourths of the engines",
          "% of a core", lambda b: b.at("module_ms", b.engines * OTHERS) * RATE / OTHERS / 10, 100.0,
          "one core, one thread", SHARE),
+    Need(FAILURES, "state", "region cut from region: brokers that each side holds for gone", "brokers",
+         lambda b: b.brokers / 2, None, "none set", "stands"),
     Need(FAILURES, "network", "rack or switch back, 20 brokers: whole lists they read, 2.5/s", "KB/s",
-         lambda b: 20 * b.at("directory_bytes", b.engines) * POLLS / 1000, NETWORK,
+         lambda b: RACK * b.at("directory_bytes", b.engines) * POLLS / 1000, NETWORK,
          "a link of 1 Gbit/s, assumed", HISTORY),
 ]
--- a/cypressledge/lab/slopes.py
+++ b/cypressledge/lab/slopes.py
@@ -157,6 +157,23 @@
     return stream.spent / 1e6 / came, len(stream.used), stream.given_up / came
 
 
+def in_rounds(sizes: tuple[int, ...], tables: int, seconds: float, rounds: int,
+              seed: int) -> dict[int, tuple[list[float], int, float]]:
+    """By engines: ms a statement of each round, engines sent to, the part given up. All sizes take turns, so
+    that the machine's ups and downs, which last for minutes, meet all of them alike."""
+    streams = {n: Stream(module(n, fleet_before(n), seed), tables, seed) for n in sizes}
+    spent: dict[int, list[float]] = {n: [] for n in sizes}
+    for stream in streams.values():
+        stream.run(0.5)
+        stream.used.clear()
+    for _ in range(rounds):
+        for n, stream in streams.items():
+            stream.spent = 0
+            came = stream.run(seconds / rounds)
+            spent[n].append(stream.spent / 1e6 / came)
+    return {n: (sorted(spent[n]), len(s.used), s.given_up / s.number) for n, s in streams.items()}
+
+
 def module_kb(engines: int, seed: int) -> float:
     """Memory that a module holds after half a second of statements, KB (Python's own allocations)."""
     gc.collect()
@@ -182,17 +199,18 @@
     sizes = (12, 36, 60) if quick else ENGINES
     seconds = 1.0 if quick else 10.0
     role = "broker, request path"
-    many = {n: statements(n, fleet_before(n), 40, seconds, seed) for n in sizes}
-    one = {n: statements(n, fleet_before(n), 1, seconds / 5, seed)[0] for n in sizes}
+    rounds = 3 if quick else 5
+    many = in_rounds(sizes, 40, seconds, rounds, seed)
+    one = in_rounds(sizes, 1, seconds / 5, 3, seed)
     fleets = (40, PEERS) if quick else (40, 120, 240, PEERS)
     peers = {n: statements(60, n, 40, seconds / 5, seed)[0] for n in fleets}
     made = [
         ("module_ms", "the decision module, a statement, of 40 groups of tables", "ms", "engines",
-         [(n, ms) for n, (ms, _, _) in many.items()]),
+         [(n, ms[rounds // 2]) for n, (ms, _, _) in many.items()]),
         ("engines_used", f"different engines sent to within {seconds:g} s at 500 statements/s", "engines",
          "engines", [(n, used) for n, (_, used, _) in many.items()]),
         ("module_one_table_ms", "the same, all statements of one group of tables", "ms", "engines",
-         list(one.items())),
+         [(n, ms[1]) for n, (ms, _, _) in one.items()]),
         ("module_peers_ms", "the decision module before 60 engines", "ms", "brokers", list(peers.items())),
         ("module_kb", "memory of the decision module", "KB", "engines",
          [(n, module_kb(n, seed)) for n in sizes]),
@@ -201,7 +219,9 @@
     given_up = 100 * max(part for _, _, part in many.values())
     words = "statements that the module gave up, most of all sizes"
     return ([slope(name, role, what, unit, x, points, told) for name, what, unit, x, points in made],
-            [Fact("module_given_up", words, given_up, "%", told)])
+            [Fact("module_given_up", words, given_up, "%", told),
+             *(Fact(f"module_{how}_ms", f"module_ms at {sizes[-1]} engines, the {how} of {rounds} rounds",
+                    many[sizes[-1]][0][at], "ms", told) for how, at in (("least", 0), ("most", -1)))])
 
 
 # The directory's whole list
