--- a/cypressledge/lab/capacity_page.py
+++ b/cypressledge/lab/capacity_page.py
@@ -13,8 +13,8 @@
 from tabulate import tabulate
 
 from cypressledge.lab.capacity_needs import (
-    BROKERS, CONTROL, CPU, DIRECTORY, ENGINE, FAILURES, MACHINES, MEMORY, NET, PLANNER, PRIMARY, REQUEST,
-    VOTER, Line, lines,
+    BROKERS, CLIENTS, CONTROL, CPU, DIRECTORY, ENGINE, ENGINES, FAILURES, MACHINES, MEMORY, NET, PLANNER,
+    PRIMARY, REQUEST, VOTER, Line, lines,
 )
 from cypressledge.lab.fits import best
 from cypressledge.lab.results import Results, ResultsError, read
@@ -25,6 +25,7 @@
 BY_ROLE = {"request-path": REQUEST, "control-part": CONTROL, "voter": VOTER, "planner": PLANNER,
            "primary": PRIMARY, "control-machines": MACHINES, "directory": DIRECTORY, "engine": ENGINE,
            "failures": FAILURES}
+TARGET = {"engines": ENGINES, "brokers": BROKERS, "client connections": CLIENTS}
 LIMITS = {"broker_cpu_pct": CPU, "broker_net_kb_s": NET, "broker_rss_mb": MEMORY}
 FITTED = ("cpu", "kb_s", "rss", "_mb")  # parts of names of figures that grow with the fleet
 
@@ -218,6 +219,18 @@
     return MARK.sub(written, page)
 
 
+def slope_limits(results: Results) -> dict[str, float]:
+    """By slope: the y at which the tightest need that comes of it alone meets its limit."""
+    by_name, found = {s.name: s for s in results.slopes}, {}
+    for line in lines(results):
+        if line.ratio and len(line.sources) == 1 and (line.need.plain or line.need.role != FAILURES):
+            name = next(iter(line.sources))
+            if (s := by_name.get(name)) is not None and s.x in TARGET:
+                y = s.at(TARGET[s.x])[0] / line.ratio
+                found[name] = min(y, found.get(name, y))
+    return found
+
+
 def plots(results: Results, folder: str) -> int:
     """Draw each slope with its fit, and its limit where one of the needs has it; how many were drawn."""
     import matplotlib
@@ -225,18 +238,17 @@
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
-    limits = {name: line.limit for line in lines(results) if line.need.plain and line.limit is not None
-              for name in line.sources}
+    limits = slope_limits(results)
     Path(folder).mkdir(parents=True, exist_ok=True)
     for s in results.slopes:
         figure, axis = pyplot.subplots(figsize=(6, 4))
         xs = [x for x, _ in s.points]
-        most = max(xs[-1], {"engines": 490, "brokers": 460, "client connections": 2_610}.get(s.x, xs[-1]))
+        most = max(xs[-1], TARGET.get(s.x, xs[-1]))
         grid = [xs[0] + (most - xs[0]) * i / 100 for i in range(101)]
         axis.plot(grid, [s.fit.at(x) for x in grid], "--", label=f"{s.fit.kind} fit, off by {s.residual:.1%}")
         axis.plot(xs, [y for _, y in s.points], "o", label="measured")
         if s.name in limits:
-            axis.axhline(limits[s.name], color="red", label=f"limit {number(limits[s.name])}")
+            axis.axhline(limits[s.name], color="red", label=f"limit {number(limits[s.name])} {s.unit}")
         axis.set(title=f"{s.name}: {s.what}"[:70], xlabel=s.x, ylabel=s.unit)
         axis.title.set_fontsize(8)
         axis.legend(fontsize=8)
