--- /dev/null
+++ b/cypressledge/controlplane/settings.py
@@ -0,0 +1,109 @@
+"""Reads `deploy/control.yaml`: the control processes, which of them vote, and the leases' terms.
+
+Checked whole by msgspec's schema and then by the rules below; whatever is wrong is one plain line. Control
+processes, brokers and operators read the same file.
+"""
+
+from typing import Annotated
+
+import msgspec
+import yaml
+
+from cypressledge.config import ConfigError, address
+from cypressledge.fleet.settings import Name, Seconds, Strict
+
+SERVERS_MOST = 8
+VOTERS = (3, 5, 7)
+
+
+class ServerSpec(Strict, frozen=True):
+    """One control process. `address`: HOST:PORT (TCP) for brokers and the other control processes; `fleet`:
+    HOST:PORT (UDP) of its leases; `management`: HOST:PORT (HTTP) for operators. `votes`: it is one of those
+    whose majority a change needs; the others only hold the history and hand it on."""
+
+    name: Name
+    address: str
+    fleet: str
+    management: str
+    zone: str = ""
+    region: str = ""
+    votes: bool = True
+
+
+class Lab(Strict, frozen=True):
+    """For the laboratory alone: a clock of another rate and offset, and a file of what was done when."""
+
+    clock_rate: Annotated[float, msgspec.Meta(ge=0.5, le=2)] = 1.0
+    clock_offset_s: float = 0.0
+    record: str = ""
+
+
+class ControlSettings(Strict, frozen=True):
+    """The whole file. `version`: of the voter set, one higher whenever `votes` changes. `drift_ppm`: how far
+    any clock's rate may be from true, parts in a million. `brokers_most`: connections of brokers that one
+    control process takes."""
+
+    servers: list[ServerSpec]
+    version: Annotated[int, msgspec.Meta(ge=1)] = 1
+    term_s: Seconds = 3.0
+    ping_s: Seconds = 0.5
+    drift_ppm: Annotated[int, msgspec.Meta(ge=0, le=200_000)] = 10_000
+    grace_s: Annotated[float, msgspec.Meta(ge=0, le=600)] = 10.0
+    brokers_most: Annotated[int, msgspec.Meta(ge=1, le=20_000)] = 2_000
+    lab: Lab = Lab()
+
+    @property
+    def term(self) -> int:
+        """The term of the lease `primary`, µs."""
+        return round(self.term_s * 1e6)
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Names of those that vote."""
+        return tuple(s.name for s in self.servers if s.votes)
+
+    def server(self, name: str) -> ServerSpec:
+        """One of the servers. Raises `ConfigError` where it isn't named."""
+        for spec in self.servers:
+            if spec.name == name:
+                return spec
+        raise ConfigError(f"no control process {name} among {' '.join(s.name for s in self.servers)}")
+
+
+def read_control(path: str) -> ControlSettings:
+    """The file's settings. Raises `ConfigError` with one line that names the mistake."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = yaml.safe_load(file)
+    except OSError as err:
+        raise ConfigError(f"{path}: {err.strerror}") from None
+    except UnicodeDecodeError:
+        raise ConfigError(f"{path} is not UTF-8 text") from None
+    except (yaml.YAMLError, RecursionError) as err:
+        raise ConfigError(f"{path} is not YAML: {' '.join(str(err).split())}") from None
+    try:
+        told = msgspec.convert(raw, ControlSettings, strict=True)
+        check(told)
+    except (msgspec.ValidationError, ConfigError) as err:
+        raise ConfigError(f"{path}: {err}") from None
+    return told
+
+
+def check(told: ControlSettings) -> None:
+    """The rules that a schema can't state. Raises `ConfigError`."""
+    if not 1 <= len(told.servers) <= SERVERS_MOST:
+        raise ConfigError(f"{len(told.servers)} control processes; 3 to {SERVERS_MOST} can be")
+    _once([s.name for s in told.servers], "control process")
+    for spec in told.servers:
+        for text in (spec.address, spec.fleet, spec.management):
+            address(text)
+    _once([s.address for s in told.servers] + [s.management for s in told.servers], "address")
+    _once([s.fleet for s in told.servers], "fleet address")
+    if len(told.voters) not in VOTERS:
+        raise ConfigError(f"{len(told.voters)} control processes vote; 3, 5 or 7 can")
+
+
+def _once(values: list[str], what: str) -> None:
+    for value in values:
+        if values.count(value) > 1:
+            raise ConfigError(f"{what} {value} is named twice")
