--- a/cypressledge/__main__.py
+++ b/cypressledge/__main__.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 
-COMMANDS = ("fleet", "zone", "lab")  # first words that are the command line's
+COMMANDS = ("fleet", "zone", "control", "lab")  # first words that are the command line's
 EARLY = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 
--- a/cypressledge/cli.py
+++ b/cypressledge/cli.py
@@ -1,4 +1,4 @@
-"""The operators' command line (click): `cypressledge fleet …`, `cypressledge lab …`. Not imported by `run`.
+"""The operators' command line (click): `cypressledge fleet …`, `control …`, `lab …`. Not imported by `run`.
 
 Talks to a broker's management address over HTTP; starts processes for the laboratory's commands alone.
 """
@@ -11,9 +11,9 @@
 import time
 
 import click
-from tabulate import tabulate
 
-from cypressledge.config import ConfigError, address
+from cypressledge.clitools import ManagementAddress, as_json, show
+from cypressledge.controlplane.cli import control
 
 ANSWER_S = 5.0  # seconds for a broker's answer
 
@@ -23,20 +23,9 @@
     """A query broker: the operators' and the laboratory's commands."""
 
 
-class BrokerAddress(click.ParamType):
-    """HOST:PORT, checked as the configuration's are."""
+cli.add_command(control)
 
-    name = "HOST:PORT"
-
-    def convert(self, value, param, ctx) -> tuple[str, int]:
-        """The address as a pair."""
-        try:
-            return address(value)
-        except ConfigError as err:
-            self.fail(str(err), param, ctx)
-
-
-at_broker = click.option("--at", type=BrokerAddress(), envvar="ROUTER_MANAGEMENT", required=True,
+at_broker = click.option("--at", type=ManagementAddress(), envvar="ROUTER_MANAGEMENT", required=True,
                          help="A broker's management address.")
 
 
@@ -66,19 +55,6 @@
     return text
 
 
-def show(rows: list[dict], as_json: bool) -> None:
-    """A table, or JSON."""
-    if as_json:
-        click.echo(json.dumps(rows, indent=2))
-        return
-    plain = [{k: " ".join(map(str, v)) if isinstance(v, list) else "-" if v is None else v
-              for k, v in row.items()} for row in rows]
-    click.echo(tabulate(plain, headers="keys") if plain else "none")
-
-
-as_json = click.option("--json", "as_json", is_flag=True, help="JSON in place of a table.")
-
-
 @fleet.command()
 @as_json
 @click.pass_obj
--- a/cypressledge/controlplane/frames.py
+++ b/cypressledge/controlplane/frames.py
@@ -55,6 +55,7 @@
         self.need, self.began = 0, 0.0  # bytes of the frame whose head has come; s when its first byte came
         self.writer = Writer(sock, QUEUED_MOST, PATIENCE, self._given_up)
         self.why = ""  # it was given up here
+        self.finished = False
         tune(sock)
 
     def send(self, message: Message, raw: bytes = b"") -> None:
@@ -101,8 +102,7 @@
         return message
 
     def _fill(self, seconds: float) -> None:
-        """Read once, within so many seconds. A peer that always has more must not keep others from their turn.
-        """
+        """Read once, within so many seconds. A peer that always has more keeps nobody from their turn."""
         if self.buffer.full:
             sleep(0)
         empty = not len(self.buffer) and not self.need
@@ -127,6 +127,7 @@
     def finish(self) -> None:
         """Nothing more is sent; what is queued goes out, then our side is shut. The reader goes on reading
         until the peer has closed, so that the last words aren't lost to a reset."""
+        self.finished = True
         self.writer.close(lambda: shut(self.sock))
 
     def close(self) -> None:
--- /dev/null
+++ b/cypressledge/controlplane/lag.py
@@ -0,0 +1,66 @@
+"""Which broker has what in force, as the control processes tell the primary. No I/O.
+
+Only what was said is counted: a broker whose control process has gone silent is not taken for one that has
+the newest.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from cypressledge.controlplane.messages import Seen
+
+NAMES_MOST = 50  # that an answer names
+
+
+@dataclass(slots=True)
+class Sight:
+    """What one broker has in force, said at a moment (µs)."""
+
+    run: int
+    version: int
+    at: int
+
+
+class InForce:
+    """The newest words of all control processes about their brokers."""
+
+    def __init__(self) -> None:
+        self.told: dict[str, dict[str, Sight]] = {}  # by control process, by broker
+
+    def report(self, now: int, sender: str, seen: Seen) -> None:
+        """Take what one control process says."""
+        if seen.all:
+            self.told[sender] = {}
+        brokers = self.told.setdefault(sender, {})
+        for name, run, version in seen.brokers:
+            if version < 0:
+                brokers.pop(name, None)
+            else:
+                brokers[name] = Sight(run, version, now)
+
+    def drop(self, sender: str) -> None:
+        """A control process can't be heard: what it said may no longer be so."""
+        self.told.pop(sender, None)
+
+    def clear(self) -> None:
+        """This process is not the primary any more."""
+        self.told.clear()
+
+    def newest(self) -> dict[str, Sight]:
+        """Each connected broker, as last spoken of."""
+        found: dict[str, Sight] = {}
+        for brokers in self.told.values():
+            for name, sight in brokers.items():
+                if name not in found or found[name].at < sight.at:
+                    found[name] = sight
+        return found
+
+    def lag(self, version: int, registered: Collection[str]) -> dict:
+        """How many connected brokers have not that version yet, and their names, `NAMES_MOST` at most; apart
+        from them those that are registered but connected nowhere."""
+        newest = self.newest()
+        behind = sorted(name for name, sight in newest.items() if sight.version < version)
+        away = sorted(name for name in registered if name not in newest)
+        return {"version": version, "connected": len(newest), "in_force": len(newest) - len(behind),
+                "lagging": len(behind), "names": behind[:NAMES_MOST], "registered": len(registered),
+                "unreachable": len(away), "unreachable_names": away[:NAMES_MOST]}
--- /dev/null
+++ b/cypressledge/controlplane/server.py
@@ -0,0 +1,607 @@
+"""One control process, put together: lease, store, replica, history, publisher, and the sockets round them.
+
+Uses gevent. One greenlet owns replica, history and publisher; sockets reach it through an inbox of bounded
+length: a process that can't keep up reads more slowly. Between two control processes each sends over the
+connection that it dialled itself, and only hears over the other.
+"""
+
+import gc
+import itertools
+import json
+import os
+import signal
+import time
+from functools import partial
+
+import gevent
+import msgspec
+from gevent.event import Event
+from gevent.queue import Empty, Full, Queue
+
+from cypressledge.config import ConfigError, address
+from cypressledge.controlplane.faults import VARIABLE, Faults
+from cypressledge.controlplane.frames import HELLO_S, Ended, Frames, Traffic, connect
+from cypressledge.controlplane.history import History
+from cypressledge.controlplane.lag import InForce
+from cypressledge.controlplane.messages import (
+    FORMAT, FRAME_MOST, Append, Change, Goodbye, Hello, Message, Op, Register, Seen, Snapshot, Welcome, encode,
+)
+from cypressledge.controlplane.operators import Asked, Operators, number
+from cypressledge.controlplane.publisher import Limits, Publisher
+from cypressledge.controlplane.replica import Clash, DiskError, NotPrimary, Replica, Ticket
+from cypressledge.controlplane.settings import ControlSettings, ServerSpec, read_control
+from cypressledge.controlplane.state import FleetState, StateError, canonical, check, clashes, plain
+from cypressledge.controlplane.store import Store, StoreError
+from cypressledge.counters import Counters, log
+from cypressledge.fleet.clock import LeaseClock
+from cypressledge.fleet.events import logger
+from cypressledge.fleet.keeper import Place
+from cypressledge.fleet.lease import Electorate
+from cypressledge.fleet.node import FleetNode, new_run
+from cypressledge.net import buffer, stream
+from cypressledge.net.http import Exchange
+from cypressledge.net.stream import Crowd, Listener
+
+PRIMARY = "primary"  # the lease
+INBOX_MOST = 512  # messages that wait for the owner
+AT_ONCE = 64  # of them looked at before sockets have their turn
+TURN_S = 0.2  # seconds that the owner sleeps at the most: leases move without a message
+HELLO_MOST = 4 << 10  # bytes of the first frame
+BROKER_MOST = 64 << 10  # bytes of a broker's later ones
+SPARE = 64  # connections beyond the brokers': peers, and those that haven't said Hello
+SILENT_S = 60.0  # seconds between two words of a peer: only its end is waited for
+BACK_OFF = (0.05, 1.0)  # seconds between tries to reach a peer, doubling
+REPORT_US = 200_000  # between words to the primary of what brokers have in force
+REGISTER_US = 100_000  # in which registrations are gathered into one change
+AGAIN_US = 1_000_000  # after which a registration is sent, or proposed, once more
+REGISTER_MOST = 1_000  # keys of one such change
+WAIT_US = 5_000_000  # for a change's majority
+QUEUED_MOST, GROWN_MOST = 256 << 20, 64 << 20  # bytes to, and from, all peers and brokers together
+LAST_WORDS = 0.5  # seconds for them
+HISTORY_SHOWN = 500  # changes
+NAMES = {"primary": "primary_began", "stepped_down": "primary_ended", "recovering": "primary_begins"}  # in the log
+STORE = "history.sqlite"  # in the folder that a control process is given
+
+
+class Waiting(msgspec.Struct):
+    """An operator's change that waits for its majority, until a moment (µs)."""
+
+    ticket: Ticket
+    asked: Asked
+    exchange: Exchange
+    until: int
+
+
+class ControlProcess:
+    """All parts of one control process. `disk`: its store, opened; `seed`: the first changes of a new
+    history, where this process may begin one. Raises `ConfigError`, `StateError`, `DiskError`, `OSError`."""
+
+    def __init__(self, settings: ControlSettings, name: str, disk: Store, faults: Faults,
+                 seed: list[Op] | None = None, rejoin: bool = False) -> None:
+        self.settings, self.spec, self.name = settings, settings.server(name), name
+        self.run_id = new_run()
+        self.log, self.counters, self.traffic = logger(name, self.run_id), Counters(), Traffic()
+        self.disk, self.faults = disk, faults
+        self.clock = LeaseClock(settings.lab.clock_rate, round(settings.lab.clock_offset_s * 1e6))
+        self.record = settings.lab.record and open(settings.lab.record, "a", buffering=1, encoding="utf-8")
+        self.inbox, self.stopping, self.stopped = Queue(INBOX_MOST), Event(), False
+        self.brokers: dict[int, Frames] = {}
+        self.numbers = itertools.count(1)  # of brokers' connections
+        self.links: dict[str, Frames] = {}  # to the other control processes, dialled here
+        self.heard: dict[str, Frames] = {}  # from them
+        self.last: tuple[Message | None, bytes] = (None, b"")  # encoded last: one snapshot goes to many
+        self.waiting: list[Waiting] = []
+        self.in_force, self.news, self.rest_until = InForce(), False, 0
+        self.reported, self.report_due, self.report_all = "", 0, True
+        self.register_due, self.registered = 0, {}  # key -> (value, µs when it was sent on or proposed)
+        self.wanted_ops: dict[str, Op] = {}
+        self.history = History(FleetState())
+        self.publisher = Publisher(name, self.run_id, self.history, Limits(followers_most=settings.brokers_most),
+                                   self._to_broker, self._end_broker, self._event)
+        now = self.clock.now()
+        self.node = self._node(now)
+        self.replica = Replica(name, self.run_id, settings.voters, disk, now, self._to_peer,
+                               self._committed, self._event, rejoin, settings.term)
+        if seed is not None:
+            self.replica.begin(f"{name}-{self.run_id:x}", seed)
+        self.listener = Listener(address(self.spec.address), self.counters, "control", self._serve, Crowd())
+        self.listener.most = settings.brokers_most + SPARE
+        self.operators = Operators(address(self.spec.management), self.counters, self._change)
+        for path, call in (("status", self._status), ("lag", self._lag), ("state", self._state),
+                           ("history", self._changes)):
+            self.operators.add(f"/control/{path}", call)
+        self.parts = [*self.node.parts, self.own, self.listener.run, self.operators.server.listener.run,
+                      *(partial(self._dial, s) for s in settings.servers if s.name != name)]
+
+    def _node(self, now: int) -> FleetNode:
+        told = self.settings
+        electorate = Electorate(self.name, told.term, {told.version: told.voters}, told.version, now,
+                                round(told.grace_s * 1e6))
+        return FleetNode(
+            self.name, listen=address(self.spec.fleet), electorate=electorate, run=self.run_id, log=self.log,
+            addresses={s.name: address(s.fleet) for s in told.servers}, counters=self.counters,
+            places=[Place(PRIMARY, PRIMARY, told.term, wanted=True)], drift_ppm=told.drift_ppm,
+            ping_s=told.ping_s, clock=self.clock, told=lambda *_: self.wake())
+
+    # The owner
+
+    def own(self) -> None:
+        """A greenlet: takes in what came, does what is due, sends what that made."""
+        while not self.stopped:
+            now = self.clock.now()
+            self._lease(now)
+            due = min(self.replica.tick(now), self._report(now), self._register(now))
+            if self.news:
+                self.news = False
+                self.publisher.committed(now)
+            self._sign(now)
+            due = min(due, self.publisher.tick(now), self._answer(now))
+            self._take(due)
+
+    def _take(self, due: int) -> None:
+        """What is in the inbox, or the first of it to come before something is due."""
+        wait = min((due - self.clock.now()) / 1e6 / self.clock.rate, TURN_S)
+        try:
+            for _ in range(AT_ONCE):
+                act, *what = self.inbox.get(block=wait > 0, timeout=wait if wait > 0 else None)
+                act(self.clock.now(), *what)
+                wait = 0
+        except Empty:
+            pass
+        gevent.sleep(0)
+
+    def wake(self) -> None:
+        """Something is due that the owner doesn't know of."""
+        try:
+            self.inbox.put_nowait((lambda now: None,))
+        except Full:
+            pass  # it is awake
+
+    def _lease(self, now: int) -> None:
+        """What holds of the lease, for the replica; it is wanted only where that could lead."""
+        willing = self.replica.willing(now) and now >= self.rest_until and self.spec.votes
+        if willing != (PRIMARY in self.node.keeper.wants):
+            (self.node.want if willing else self.node.unwant)(PRIMARY)
+        grant = self.node.grant(PRIMARY)
+        if grant is None:
+            self.replica.lease(now, None, 0)
+        elif not self.replica.lease(now, grant.token, grant.until):
+            if grant.token <= self.replica.epoch:
+                self.node.refused(PRIMARY, self.replica.epoch)
+            else:
+                self.node.give_back(PRIMARY, "of no use here", 1.0)
+
+    @property
+    def leads(self) -> bool:
+        """Whether this is the primary now."""
+        return self.replica.role == "primary" and self.clock.now() < self.replica.until
+
+    @property
+    def primary(self) -> str:
+        """Who is, as far as is known here."""
+        return self.name if self.leads else "" if self.replica.primary == self.name else self.replica.primary
+
+    def _sign(self, now: int) -> None:
+        """Tell the publisher when a primary was heard last."""
+        if self.leads:
+            self.publisher.primary(now, self.name)
+        elif self.replica.primary and self.replica.primary != self.name:
+            self.publisher.primary(self.replica.heard, self.replica.primary)
+
+    def _committed(self, changes: list[Change] | None, snapshot: Snapshot | None) -> None:
+        if snapshot is not None:
+            self.history.reset(snapshot)
+        for change in changes or ():
+            self.history.apply(change)
+        self.news = True
+        state = self.history.state
+        self._note("committed", epoch=state.epoch, version=state.version, digest=state.digest.hex())
+
+    def _event(self, event: str, **what) -> None:
+        self.counters.add(f"control.{event}")
+        if event in ("primary", "stepped_down"):
+            self._note(event, epoch=what["epoch"], version=what.get("version", 0))
+            self.wanted_ops.clear()
+            self.registered.clear()
+            self.in_force.clear()
+            self.report_all = True
+        if event == "disk_error":  # guards against a full disk that takes the lease from the others again
+            self.rest_until = self.clock.now() + 2 * self.settings.term
+        self.log.info(NAMES.get(event, event), **what)
+
+    def _note(self, event: str, **what) -> None:
+        """For the laboratory: what was done when, on the machine's clock."""
+        if self.record:
+            told = {"at": LeaseClock().now(), "who": self.name, "run": self.run_id, "event": event, **what}
+            self.record.write(json.dumps(told) + "\n")
+
+    # What brokers have in force, and where they are
+
+    def _report(self, now: int) -> int:
+        """Tell the primary what changed of the brokers here; when to call again."""
+        if now < self.report_due:
+            return self.report_due
+        self.report_due = now + REPORT_US
+        primary = self.primary
+        if primary != self.reported:
+            self.reported, self.report_all = primary, True
+        if not primary or primary != self.name and primary not in self.links:
+            return self.report_due
+        seen = self.publisher.seen(self.report_all)
+        self.report_all = False
+        if seen is None:
+            return self.report_due
+        if primary == self.name:
+            self.in_force.report(now, self.name, seen)
+        else:
+            self._to_peer(primary, seen)
+        return self.report_due
+
+    def _register(self, now: int) -> int:
+        """Pass on, or as the primary propose, where brokers are; when to call again."""
+        if now < self.register_due:
+            return self.register_due
+        self.register_due = now + REGISTER_US
+        primary = self.primary
+        for op in self.publisher.registrations(self.history.state):
+            self.wanted_ops[op.key] = op
+        ops = [op for op in self.wanted_ops.values() if self._unsaid(now, op)][:REGISTER_MOST]
+        self.wanted_ops.clear()
+        if not ops or not primary or primary != self.name and primary not in self.links:
+            return self.register_due
+        if primary == self.name:
+            ops = self._fitting(ops)
+        self.registered |= {op.key: (op.value, now) for op in ops}
+        if primary != self.name:
+            self._to_peer(primary, Register(ops))
+        elif ops:
+            try:
+                self.replica.propose_own(now, ops, "brokers' places", time.time_ns() // 1_000_000)
+            except (NotPrimary, StateError) as err:
+                self._event("not_registered", why=str(err))
+        return self.register_due
+
+    def _unsaid(self, now: int, op: Op) -> bool:
+        """Whether a registration is new, or long enough ago to be repeated."""
+        held = self.history.state.entries.get(op.key)
+        if held is not None and held.value == op.value:
+            self.registered.pop(op.key, None)
+            return False
+        value, at = self.registered.get(op.key, (None, 0))
+        return value != op.value or now - at >= AGAIN_US
+
+    def _fitting(self, ops: list[Op]) -> list[Op]:
+        """Those that the state takes. Guards against two brokers at one address holding up the others."""
+        try:
+            check(self.replica.tail, ops)
+            return ops
+        except StateError:
+            fitting: list[Op] = []
+        for op in ops:
+            try:
+                check(self.replica.tail, [op])
+                check(self.replica.tail, [*fitting[-8:], op])
+                fitting.append(op)
+            except StateError as err:
+                self.registered[op.key] = (op.value, self.clock.now())
+                self._event("not_registered", why=str(err))
+        return fitting
+
+    # Brokers
+
+    def _serve(self, sock) -> None:
+        """A greenlet for each connection that is accepted: its only reader, and its end."""
+        frames = Frames(sock, self.traffic, HELLO_MOST)
+        try:
+            hello = frames.receive(HELLO_S)
+            if not isinstance(hello, Hello):
+                raise Ended("no hello")
+            if hello.role == "control":
+                self._serve_peer(hello, frames)
+            else:
+                self._serve_broker(hello, frames)
+        except Ended as err:
+            self.counters.add(f"control.ended.{str(err).partition(':')[0][:24]}")
+        finally:
+            frames.close()
+
+    def _serve_broker(self, hello: Hello, frames: Frames) -> None:
+        frames.most = BROKER_MOST
+        conn = next(self.numbers)
+        self.brokers[conn] = frames
+        self.inbox.put((self.publisher.connected, conn, hello))
+        try:
+            while True:
+                message = frames.receive(SILENT_S)
+                if message is not None and not frames.finished:
+                    self.inbox.put((self.publisher.received, conn, message))
+        finally:
+            if self.brokers.pop(conn, None) is not None:
+                self.inbox.put((self.publisher.gone, conn))
+
+    def _to_broker(self, conn: int, message: Message) -> None:
+        frames = self.brokers.get(conn)
+        if frames is None:
+            return
+        if self.last[0] is not message:
+            self.last = message, encode(message)
+        frames.send(message, self.last[1])
+
+    def _end_broker(self, conn: int, goodbye: Goodbye) -> None:
+        """Its last word; what the broker still says is read, and dropped, for a moment."""
+        frames = self.brokers.pop(conn, None)
+        if frames is not None:
+            frames.send(goodbye)
+            frames.finish()
+            gevent.spawn_later(stream.DRAIN, frames.close)
+
+    # The other control processes
+
+    def _hello(self) -> Hello:
+        state = self.history.state
+        return Hello(FORMAT, "control", self.name, self.run_id, self.replica.lineage, state.epoch, state.version,
+                     state.digest)
+
+    def _refusal(self, hello: Hello) -> str:
+        """Why a control process is turned down; empty: it isn't."""
+        if hello.format != FORMAT:
+            return "format"
+        if hello.name == self.name or hello.name not in {s.name for s in self.settings.servers}:
+            return "nonsense"
+        own = self.replica.lineage
+        return "lineage" if own and hello.lineage and hello.lineage != own else ""
+
+    def _serve_peer(self, hello: Hello, frames: Frames) -> None:
+        """What another control process says, for as long as it is connected."""
+        why = self._refusal(hello)
+        if why:
+            self._event("peer_refused", peer=hello.name, why=why, lineage=hello.lineage)
+            frames.send(Goodbye(why, 1_000))
+            frames.finish()
+            frames.receive(1.0)
+            return
+        former = self.heard.get(hello.name)
+        if former is not None:
+            former.close()
+        self.heard[hello.name] = frames
+        frames.most = FRAME_MOST
+        frames.send(Welcome(self.name, self.run_id, self.replica.lineage))
+        try:
+            while True:
+                message = frames.receive(SILENT_S)
+                if message is not None:
+                    self.inbox.put((self._from_peer, hello.name, message))
+        finally:
+            if self.heard.get(hello.name) is frames:
+                del self.heard[hello.name]
+                self.inbox.put((self._peer_gone, hello.name))
+
+    def _from_peer(self, now: int, name: str, message: Message) -> None:
+        if isinstance(message, Seen):
+            if self.leads:
+                self.in_force.report(now, name, message)
+        elif isinstance(message, Register):
+            if self.leads:
+                self.wanted_ops |= {op.key: op for op in message.ops if op.key.startswith("broker/")}
+        else:
+            self.replica.receive(now, name, message)
+
+    def _peer_gone(self, now: int, name: str) -> None:
+        self.in_force.drop(name)
+
+    def _to_peer(self, name: str, message: Message) -> None:
+        """Over the connection dialled here; dropped where there is none: whoever sends repeats it."""
+        frames = self.links.get(name)
+        if frames is None:
+            self.counters.add("control.no_link")
+            return
+        step = message.__struct_config__.tag
+        due = (not isinstance(message, Append) or bool(message.changes)) and self.faults.due(step)
+        if due and self.faults.when == "before":
+            self.faults.strike()
+        frames.send(message)
+        if due and self.faults.when == "after":
+            frames.writer.flushed.wait(1.0)
+            self.faults.strike()
+
+    def _dial(self, spec: ServerSpec) -> None:
+        """A greenlet: keeps a connection to another control process, to send over."""
+        pause = BACK_OFF[0]
+        while not self.stopped:
+            frames = None
+            try:
+                frames = connect(address(spec.address), self.traffic)
+                frames.send(self._hello())
+                self._greeted(spec, frames.receive(HELLO_S))
+                pause = BACK_OFF[0]
+                self.links[spec.name] = frames
+                self.inbox.put((self._linked, spec.name))
+                while True:
+                    frames.receive(SILENT_S)
+            except Ended as err:
+                self.counters.add("control.link_ended")
+                if self.links.get(spec.name) is frames and frames is not None:
+                    self.log.info("peer_link_ended", peer=spec.name, why=str(err))
+            finally:
+                if frames is not None:
+                    frames.close()
+                    if self.links.get(spec.name) is frames:
+                        del self.links[spec.name]
+            gevent.sleep(pause)
+            pause = min(2 * pause, BACK_OFF[1])
+
+    def _greeted(self, spec: ServerSpec, message: Message | None) -> None:
+        """Raises `Ended` unless the other one is who it should be."""
+        if isinstance(message, Goodbye):
+            raise Ended(f"goodbye {message.why}")
+        if not isinstance(message, Welcome) or message.name != spec.name:
+            raise Ended("no welcome")
+        own = self.replica.lineage
+        if own and message.lineage and own != message.lineage:
+            self._event("peer_refused", peer=spec.name, why="lineage", lineage=message.lineage)
+            raise Ended("lineage")
+
+    def _linked(self, now: int, name: str) -> None:
+        """A new connection: what was said over the former one may be lost."""
+        if name == self.primary:
+            self.report_all = True
+            self.registered.clear()
+
+    # Operators
+
+    def _change(self, asked: Asked, exchange: Exchange) -> None:
+        """From a caller's greenlet: the owner decides."""
+        try:
+            self.inbox.put_nowait((self._propose, asked, exchange))
+        except Full:
+            exchange.json(503, {"answer": "unknown", "why": "busy"} | self._where())
+
+    def _propose(self, now: int, asked: Asked, exchange: Exchange) -> None:
+        replica = self.replica
+        try:
+            if not self.leads:
+                raise NotPrimary(self.primary)
+            base = replica.tail.version if asked.base is None else asked.base
+            if asked.dry_run:
+                self._try(asked, base, exchange)
+                return
+            ticket = replica.propose(now, asked.ops, base, asked.request, asked.who, asked.why,
+                                     time.time_ns() // 1_000_000)
+        except NotPrimary:
+            exchange.json(421, {"answer": "not primary"} | self._where())
+        except Clash as err:
+            exchange.json(409, {"answer": "clash", "why": str(err), "keys": err.keys,
+                                "version": replica.tail.version})
+        except StateError as err:
+            exchange.json(400, {"answer": "bad", "why": str(err)})
+        else:
+            self.waiting.append(Waiting(ticket, asked, exchange, now + WAIT_US))
+
+    def _try(self, asked: Asked, base: int, exchange: Exchange) -> None:
+        """What would come of a change. Raises as `propose` does."""
+        tail = self.replica.tail
+        check(tail, asked.ops)
+        if keys := clashes(tail, base, asked.ops):
+            raise Clash(keys)
+        exchange.json(200, {"answer": "would do", "version": tail.version + 1,
+                            "keys": len(asked.ops)} | self._where())
+
+    def _answer(self, now: int) -> int:
+        """Tell operators what became of their changes; when to call again."""
+        left = []
+        for w in self.waiting:
+            if w.ticket.state == "open" and now < w.until:
+                left.append(w)
+                continue
+            if w.ticket.state == "done":
+                if self.faults.due("answer"):
+                    self.faults.strike()
+                self._event("change_acknowledged", epoch=w.ticket.epoch, version=w.ticket.version,
+                            request=w.asked.request, who=w.asked.who, why=w.asked.why)
+                self._note("acknowledged", epoch=w.ticket.epoch, version=w.ticket.version,
+                           request=w.asked.request)
+                w.exchange.json(200, {"answer": "done", "version": w.ticket.version, "epoch": w.ticket.epoch,
+                                      "request": w.asked.request} | self._where())
+            else:
+                self._event("change_unknown", version=w.ticket.version, request=w.asked.request)
+                w.exchange.json(503, {"answer": "unknown", "version": w.ticket.version,
+                                      "why": "no majority in time"} | self._where())
+        self.waiting = left
+        return min((w.until for w in left), default=now + WAIT_US)
+
+    def _where(self) -> dict:
+        """Where operators find the primary, and all control processes."""
+        specs = {s.name: s.management for s in self.settings.servers}
+        primary = self.primary
+        return {"primary": primary, "at": specs.get(primary, ""), "servers": list(specs.values())}
+
+    def _status(self, request) -> tuple[int, dict]:
+        now, state = self.clock.now(), self.history.state
+        told = self.replica.status(now)
+        return 200, {
+            "name": self.name, "run": f"{self.run_id:x}", "role": told.role, "epoch": told.epoch,
+            "version": state.version, "digest": state.digest.hex(), "lineage": state.lineage,
+            "last": told.last, "commit": told.commit, "match": told.match, "silent_ms": told.silent_ms,
+            "joining": told.joining, "brokers": len(self.publisher.followers), "peers": sorted(self.links),
+            "keys": len(state.entries), "bytes": state.size, "waiting": len(self.waiting),
+            "traffic": self.traffic.show(), "counters": self.counters.show(),
+            "published": self.publisher.counters.show()} | self._where()
+
+    def _lag(self, request) -> tuple[int, dict]:
+        if not self.leads:
+            return 421, {"answer": "not primary"} | self._where()
+        state = self.history.state
+        registered = [key[7:] for key in state.entries if key.startswith("broker/")]
+        version = number(request, "version", 0) or state.version
+        return 200, {"answer": "lag", "newest": state.version} | self.in_force.lag(version, registered)
+
+    def _state(self, request) -> tuple[int, dict]:
+        prefix, state = request.params.get("prefix", ""), self.history.state
+        return 200, {"epoch": state.epoch, "version": state.version, "digest": state.digest.hex(),
+                     "lineage": state.lineage,
+                     "entries": {k: {"value": plain(e.value), "version": e.version}
+                                 for k, e in sorted(state.entries.items()) if k.startswith(prefix)}}
+
+    def _changes(self, request) -> tuple[int, dict]:
+        since = number(request, "from", 0)
+        kept = [c for c, _ in self.history.changes if c.version >= since][:HISTORY_SHOWN]
+        return 200, {"from": self.history.base[1] + 1, "to": self.history.state.version,
+                     "changes": [{"version": c.version, "epoch": c.epoch, "at": c.at, "who": c.who, "why": c.why,
+                                  "request": c.request, "set": [o.key for o in c.ops if o.value is not None],
+                                  "removed": [o.key for o in c.ops if o.value is None]} for c in kept]}
+
+    # From start to end
+
+    def run(self) -> None:
+        """Serve until told to stop; then give the lease back, and say goodbye."""
+        log(f"{self.name}: control process, brokers at {self.spec.address}")
+        for part in map(gevent.spawn, self.parts):
+            part.link_exception(self._broken)
+        gevent.signal_handler(signal.SIGTERM, self.stopping.set)
+        gevent.signal_handler(signal.SIGINT, self.stopping.set)
+        gevent.signal_handler(signal.SIGUSR1, lambda: self.counters.print("asked"))
+        self.stopping.wait()
+        self.stop()
+        self.counters.print("exit")
+
+    def stop(self) -> None:
+        """In good order, within `LAST_WORDS` and a little: what waits for a majority is not known."""
+        now = self.clock.now()
+        self.stopped = True
+        self.replica.lease(now, None, 0)
+        self.node.stop()
+        self._answer(now)
+        self.publisher.stop()
+        for frames in [*self.links.values(), *self.heard.values()]:
+            frames.finish()
+        gevent.sleep(LAST_WORDS)
+        self.disk.close()
+
+    def _broken(self, part) -> None:
+        # A part that ended by an exception can't be done without: end, so that whoever started it starts anew.
+        log(f"a part of the control process failed: {part.exception!r}")
+        os._exit(3)
+
+
+def main(file: str, name: str, folder: str, seed: dict | None, rejoin: bool) -> int:
+    """Run one control process; what is wrong with its settings or its store is one plain line, and 2."""
+    buffer.GROWN.most, stream.QUEUED.most = GROWN_MOST, QUEUED_MOST
+    try:
+        settings = read_control(file)
+        settings.server(name)
+        os.makedirs(folder, exist_ok=True)
+        faults = Faults(os.environ.get(VARIABLE, ""))
+        create = "rejoin" if rejoin else "" if seed is None else "first"
+        disk = Store(os.path.join(folder, STORE), name, create, faults.disk)
+        ops = None if seed is None else [Op(k, canonical(v)) for k, v in seed["set"].items()]
+        process = ControlProcess(settings, name, disk, faults, ops, rejoin)
+    except (ConfigError, StateError, StoreError, DiskError) as err:
+        log(f"cypressledge: {err}")
+        return 2
+    except OSError as err:
+        log(f"cypressledge: cannot begin: {err}")
+        return 2
+    gc.collect()
+    gc.freeze()
+    process.run()
+    return 0
