--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -24,7 +24,8 @@
 from cypressledge.controlplane.history import History
 from cypressledge.controlplane.lag import InForce
 from cypressledge.controlplane.messages import (
-    FORMAT, FRAME_MOST, Append, Change, Goodbye, Hello, Message, Op, Register, Seen, Snapshot, Welcome, encode,
+    FORMAT, FRAME_MOST, Append, Change, Goodbye, Hello, Message, Op, Register, Seen, Snapshot, Welcome,
+    encode,
 )
 from cypressledge.controlplane.operators import Asked, Operators, number
 from cypressledge.controlplane.publisher import Limits, Publisher
@@ -59,7 +60,7 @@
 QUEUED_MOST, GROWN_MOST = 256 << 20, 64 << 20  # bytes to, and from, all peers and brokers together
 LAST_WORDS = 0.5  # seconds for them
 HISTORY_SHOWN = 500  # changes
-NAMES = {"primary": "primary_began", "stepped_down": "primary_ended", "recovering": "primary_begins"}  # in the log
+NAMES = {"primary": "primary_began", "stepped_down": "primary_ended", "recovering": "primary_begins"}
 STORE = "history.sqlite"  # in the folder that a control process is given
 
 
@@ -96,12 +97,13 @@
         self.register_due, self.registered = 0, {}  # key -> (value, µs when it was sent on or proposed)
         self.wanted_ops: dict[str, Op] = {}
         self.history = History(FleetState())
-        self.publisher = Publisher(name, self.run_id, self.history, Limits(followers_most=settings.brokers_most),
-                                   self._to_broker, self._end_broker, self._event)
+        limits = Limits(followers_most=settings.brokers_most)
+        self.publisher = Publisher(name, self.run_id, self.history, limits, self._to_broker, self._end_broker,
+                                   self._event)
         now = self.clock.now()
         self.node = self._node(now)
-        self.replica = Replica(name, self.run_id, settings.voters, disk, now, self._to_peer,
-                               self._committed, self._event, rejoin, settings.term)
+        self.replica = Replica(name, self.run_id, settings.voters, disk, now, self._to_peer, self._committed,
+                               self._event, rejoin, settings.term)
         if seed is not None:
             self.replica.begin(f"{name}-{self.run_id:x}", seed)
         self.listener = Listener(address(self.spec.address), self.counters, "control", self._serve, Crowd())
@@ -207,6 +209,8 @@
             self.report_all = True
         if event == "disk_error":  # guards against a full disk that takes the lease from the others again
             self.rest_until = self.clock.now() + 2 * self.settings.term
+        if "broker" in what:  # in the log that is who writes
+            what["of"] = what.pop("broker")
         self.log.info(NAMES.get(event, event), **what)
 
     def _note(self, event: str, **what) -> None:
@@ -339,8 +343,8 @@
 
     def _hello(self) -> Hello:
         state = self.history.state
-        return Hello(FORMAT, "control", self.name, self.run_id, self.replica.lineage, state.epoch, state.version,
-                     state.digest)
+        return Hello(FORMAT, "control", self.name, self.run_id, self.replica.lineage, state.epoch,
+                     state.version, state.digest)
 
     def _refusal(self, hello: Hello) -> str:
         """Why a control process is turned down; empty: it isn't."""
@@ -546,8 +550,9 @@
         since = number(request, "from", 0)
         kept = [c for c, _ in self.history.changes if c.version >= since][:HISTORY_SHOWN]
         return 200, {"from": self.history.base[1] + 1, "to": self.history.state.version,
-                     "changes": [{"version": c.version, "epoch": c.epoch, "at": c.at, "who": c.who, "why": c.why,
-                                  "request": c.request, "set": [o.key for o in c.ops if o.value is not None],
+                     "changes": [{"version": c.version, "epoch": c.epoch, "at": c.at, "who": c.who,
+                                  "why": c.why, "request": c.request,
+                                  "set": [o.key for o in c.ops if o.value is not None],
                                   "removed": [o.key for o in c.ops if o.value is None]} for c in kept]}
 
     # From start to end
@@ -578,7 +583,7 @@
         self.disk.close()
 
     def _broken(self, part) -> None:
-        # A part that ended by an exception can't be done without: end, so that whoever started it starts anew.
+        # A part that ended by an exception can't be done without: end, to be started anew.
         log(f"a part of the control process failed: {part.exception!r}")
         os._exit(3)
 
