--- a/cypressledge/broker.py
+++ b/cypressledge/broker.py
@@ -1,7 +1,7 @@
 """One real broker: reads its configuration, puts the parts together, and heeds signals.
 
 ROUTER_CONFIG names the configuration. `--service FILE` adds the hosted service's front, `--fleet FILE` what
-brokers do together.
+brokers do together, `--control FILE` the control plane that it takes settings and engines from.
 """
 
 import argparse
@@ -21,7 +21,7 @@
 from cypressledge.core import Core, clock
 from cypressledge.counters import Counters, log
 from cypressledge.net.buffer import GROWN
-from cypressledge.net.directory import Catalogue, Directory
+from cypressledge.net.directory import Catalogue, Directory, Listed
 from cypressledge.net.jsonrpc import Front
 from cypressledge.net.lines import UNSENT_MOST, LinesLink
 from cypressledge.net.management import CALLERS_LEAST, CALLERS_MOST, Kept, Management, figures
@@ -49,10 +49,12 @@
 class Broker:
     """All parts of one broker."""
 
-    def __init__(self, read: Callable[[], tuple[Config, ServiceConfig | None]],
-                 fleet: str | None = None) -> None:
+    def __init__(self, read: Callable[[dict], tuple[Config, ServiceConfig | None]],
+                 fleet: str | None = None, control: str | None = None) -> None:
         self.read = read
-        config, service = read()
+        self.sections: dict = {}  # of the settings, in place of the file's
+        self.engines_told = False  # the list is not the file's nor the directory's
+        config, service = read(self.sections)
         self.config = config
         self.counters = Counters()
         self.hello = f"{config.name}: listening on {config.listen[0]}:{config.listen[1]}"
@@ -85,6 +87,7 @@
             self.links.append(self.service.link)
             self.parts += self.service.parts
         self.fleet = self._join(fleet) if fleet else None
+        self.control = self._follow(control) if control else None
         self._limit(config)
         self.stopping = Event()
 
@@ -99,6 +102,14 @@
             part.calls(self.management)
         return part
 
+    def _follow(self, file: str):
+        """The control plane. Imported here alone: without it a broker is as it was."""
+        from cypressledge.controlplane.part import follow
+
+        part = follow(file, self)
+        self.parts += part.parts
+        return part
+
     def _limit(self, config: Config) -> None:
         """Take what the configuration allows; at the start and at each reload."""
         limits, shared = config.limits, self.service is not None
@@ -120,24 +131,47 @@
         a restart can change: the old configuration stays in force, whole. The listener, the ledger,
         connections and the directory's serial live on."""
         try:
-            config, service = self.read()
-            self._check(config, service)
+            self._reload(self.sections)
         except ConfigError as err:
-            self.counters.add("reload_failures")
             log(f"reload: the old configuration stays in force: {err}")
             return
-        self.config = config
+        if self.fleet is not None:
+            self.fleet.reload()
+        if self.control is not None:
+            self.control.name_peers()
+        log("reload: the new configuration is in force")
+
+    def _reload(self, sections: dict) -> None:
+        """Raises `ConfigError` where the old configuration stays in force."""
+        try:
+            config, service = self.read(sections)
+            self._check(config, service)
+        except ConfigError:
+            self.counters.add("reload_failures")
+            raise
+        self.config, self.sections = config, sections
         self._limit(config)
         self.core.reconfigure(_settings(config, service))
         self.catalogue.rename(self.core, config.kinds, config.zones)
-        self.directory.update(config.serial, config.engines)
-        self.directory.move(config.dns)
+        if not self.engines_told:
+            self.directory.update(config.serial, config.engines)
+            self.directory.move(config.dns)
         if self.service is not None:
             self.service.reload(service, config)
-        if self.fleet is not None:
-            self.fleet.reload()
         self.counters.add("reloads")
-        log("reload: the new configuration is in force")
+
+    def take_sections(self, sections: dict) -> None:
+        """Sections of the settings, by name, in place of the file's, from now on. Raises `ConfigError` where
+        what is in force stays."""
+        self._reload(sections)
+        log(f"control: new settings are in force: {' '.join(sorted(sections))}")
+
+    def take_engines(self, engines: list[Listed]) -> None:
+        """The whole list, from now on in place of the file's and the directory's, which is asked no more."""
+        if not self.engines_told:
+            self.engines_told = True
+            self.directory.move(None)
+        self.catalogue.tell(self.core, ListKind.FULL, engines)
 
     def _check(self, config: Config, service: ServiceConfig | None) -> None:
         """Whether this can be taken without a restart."""
@@ -164,6 +198,8 @@
         self.core.stop(clock() + self._grace())
         if self.fleet is not None:
             self.fleet.stop()
+        if self.control is not None:
+            self.control.stop()
         if self.front.listener.inherited:  # the socket's queue and the clients are the next process's
             self.front.stop()
             self.front.retire()
@@ -219,10 +255,13 @@
     parser = argparse.ArgumentParser(prog="cypressledge", description="a query broker")
     parser.add_argument("--service", metavar="FILE", help="settings of the hosted service's front")
     parser.add_argument("--fleet", metavar="FILE", help="what brokers do together (deploy/fleet.yaml)")
+    parser.add_argument("--control", metavar="FILE",
+                        help="the control plane to follow (deploy/control.yaml)")
     told = parser.parse_args(args)
     file = told.service
     try:
-        return Broker(lambda: (read_config(env), read_service(file, env) if file else None), told.fleet)
+        return Broker(lambda sections: (read_config(env, sections), read_service(file, env) if file else None),
+                      told.fleet, told.control)
     except OSError as err:
         raise ConfigError(f"cannot listen: {err}") from None
 
--- a/cypressledge/config.py
+++ b/cypressledge/config.py
@@ -73,14 +73,16 @@
     engines: tuple[Listed, ...]
 
 
-def read_config(env) -> Config:
-    """The configuration named by the environment."""
+def read_config(env, sections: dict | None = None) -> Config:
+    """The configuration named by the environment; `sections` of its settings in place of the file's."""
     path = env.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG is not set")
     try:
         with open(path, encoding="utf-8") as file:
-            return _config(json.load(file), env)
+            raw = json.load(file)
+        raw["settings"] |= sections or {}
+        return _config(raw, env)
     except OSError as err:
         raise ConfigError(f"{path}: {err.strerror}") from None
     except KeyError as err:
--- /dev/null
+++ b/cypressledge/controlplane/part.py
@@ -0,0 +1,111 @@
+"""What a broker takes from the control plane: settings, engines, and where the other brokers are.
+
+Nothing here is imported unless `--control FILE` asks for it. Until a first state has come, and whenever no
+control process can be reached, the broker goes on with what it has: what it was started with at first.
+"""
+
+import json
+import os
+
+from cypressledge.config import ConfigError, address
+from cypressledge.contract import ListKind, State
+from cypressledge.controlplane.agent import FollowerAgent
+from cypressledge.controlplane.messages import Change
+from cypressledge.controlplane.settings import read_control
+from cypressledge.controlplane.state import Engine, FleetState, StateError
+from cypressledge.counters import log
+from cypressledge.fleet.node import new_run
+from cypressledge.net.directory import Listed
+
+STATES = {"ready": State.READY, "draining": State.DRAINING}
+
+
+class ControlPart:
+    """Follows the control plane for a broker. Raises `ConfigError` where the file can't be used."""
+
+    def __init__(self, file: str, broker, env) -> None:
+        self.broker, self.counters = broker, broker.counters
+        settings, name = read_control(file), broker.config.name
+        self.fleet = broker.fleet
+        self.run = new_run() if self.fleet is None else self.fleet.node.run_id
+        self.refused = ""  # why the newest settings are not in force
+        self.agent = FollowerAgent(name, self.run, settings, *self._place(env), self._changed, self.counters,
+                                   settings.lab.record)
+        self.parts = self.agent.parts
+        if broker.management is not None:
+            broker.management.add("/control/status", "GET", lambda r: (200, self._status()))
+
+    def _place(self, env) -> tuple[str, str, str]:
+        """(zone, region, fleet address): by the fleet's file, or the environment; no address without a fleet."""
+        zone, region = env.get("ROUTER_ZONE", ""), env.get("ROUTER_REGION", "")
+        if self.fleet is None:
+            return zone, region, ""
+        own = next(p for p in self.fleet.told.peers if p.name == self.broker.config.name)
+        zone = zone or own.zone
+        regions = (r.name for r in self.fleet.told.regions if zone in r.zones)
+        return zone, region or next(regions, ""), own.address
+
+    def stop(self) -> None:
+        """The broker stops."""
+        self.agent.stop()
+
+    def _status(self) -> bytes:
+        told = self.agent.status() | {
+            "run": f"{self.run:x}", "refused": self.refused, "engines_from_here": self.broker.engines_told,
+            "sections": sorted(self.broker.sections), "traffic": self.agent.traffic.show()}
+        return json.dumps(told).encode() + b"\n"
+
+    # What a new state brings
+
+    def _changed(self, state: FleetState, change: Change | None) -> None:
+        """Take what differs; `change` is None for a whole state."""
+        kinds = {"config", "engine", "broker"} if change is None else {
+            op.key.partition("/")[0] for op in change.ops}
+        try:
+            if "config" in kinds:
+                self._settings(state.config())
+            if "engine" in kinds:
+                self._engines(state.engines())
+            if "broker" in kinds:
+                self.name_peers()
+        except StateError as err:  # the control processes check what they take; an older one may not have
+            self._refuse(str(err))
+
+    def _settings(self, sections: dict) -> None:
+        if sections == self.broker.sections:
+            return
+        try:
+            self.broker.take_sections(sections)
+            self.refused = ""
+        except ConfigError as err:
+            self._refuse(str(err))
+
+    def _refuse(self, why: str) -> None:
+        self.refused = why
+        self.counters.add("control.refused")
+        log(f"control: what was in force stays: {why}")
+
+    def _engines(self, engines: dict[str, Engine]) -> None:
+        """The list is the control plane's from the first engine on that it names."""
+        if not engines and not self.broker.engines_told:
+            return
+        self.broker.take_engines([_listed(name, engine) for name, engine in sorted(engines.items())])
+        self.counters.add("control.lists")
+
+    def name_peers(self) -> None:
+        """Where the other brokers are: as the fleet's file says, and above that as the state does."""
+        if self.fleet is None:
+            return
+        told = {p.name: p.address for p in self.fleet.told.peers}
+        told |= {name: b.address for name, b in self.agent.state.brokers().items()}
+        self.fleet.node.rename({name: address(text) for name, text in told.items()})
+
+
+def _listed(name: str, engine: Engine) -> Listed:
+    host, port = address(engine.address)
+    return Listed(name, host, port, STATES[engine.state], engine.kind, engine.zone, engine.cell, engine.born_ms)
+
+
+def follow(file: str, broker) -> ControlPart:
+    """The part for a broker that is being put together."""
+    return ControlPart(file, broker, os.environ)
