--- a/cypressledge/broker.py
+++ b/cypressledge/broker.py
@@ -259,9 +259,12 @@
                         help="the control plane to follow (deploy/control.yaml)")
     told = parser.parse_args(args)
     file = told.service
+
+    def read(sections: dict) -> tuple[Config, ServiceConfig | None]:
+        return read_config(env, sections), read_service(file, env) if file else None
+
     try:
-        return Broker(lambda sections: (read_config(env, sections), read_service(file, env) if file else None),
-                      told.fleet, told.control)
+        return Broker(read, told.fleet, told.control)
     except OSError as err:
         raise ConfigError(f"cannot listen: {err}") from None
 
--- a/cypressledge/controlplane/cli.py
+++ b/cypressledge/controlplane/cli.py
@@ -167,7 +167,7 @@
     if code != 200:
         raise click.ClickException(told.get("why") or f"HTTP {code}")
     say_lag(told)
-    sys.exit(1 if told["lagging"] else 0)
+    sys.exit(1 if told["lagging"] or told["unheard"] else 0)
 
 
 def say_lag(told: dict) -> None:
@@ -175,6 +175,8 @@
     lagging, away = told["lagging"], told["unreachable"]
     click.echo(f"version {told['version']}: in force at {told['in_force']} of {told['connected']} brokers"
                + (f"; {lagging} lag: {' '.join(told['names'])}" if lagging else ""))
+    if told["unheard"]:
+        click.echo(f"{' '.join(told['unheard'])} have not said yet who is connected to them")
     if away:
         click.echo(f"{away} are registered, but connected nowhere: {' '.join(told['unreachable_names'])}")
 
@@ -254,11 +256,11 @@
         except NoAnswer as err:
             click.echo(f"not known who lags: {err}", err=True)
             return 1
-        if told is not None and not told["lagging"] or time.monotonic() >= until:
+        if told is not None and not told["lagging"] and not told["unheard"] or time.monotonic() >= until:
             break
         time.sleep(PAUSE_S)
     if told is None:
         click.echo("not known who lags", err=True)
         return 1
     say_lag(told)
-    return 1 if told["lagging"] else 0
+    return 1 if told["lagging"] or told["unheard"] else 0
--- a/cypressledge/controlplane/lag.py
+++ b/cypressledge/controlplane/lag.py
@@ -28,10 +28,12 @@
         self.told: dict[str, dict[str, Sight]] = {}  # by control process, by broker
 
     def report(self, now: int, sender: str, seen: Seen) -> None:
-        """Take what one control process says."""
+        """Take what one control process says. Changes alone tell nothing: what they change isn't known."""
         if seen.all:
             self.told[sender] = {}
-        brokers = self.told.setdefault(sender, {})
+        brokers = self.told.get(sender)
+        if brokers is None:
+            return
         for name, run, version in seen.brokers:
             if version < 0:
                 brokers.pop(name, None)
@@ -55,12 +57,14 @@
                     found[name] = sight
         return found
 
-    def lag(self, version: int, registered: Collection[str]) -> dict:
+    def lag(self, version: int, registered: Collection[str], alive: Collection[str]) -> dict:
         """How many connected brokers have not that version yet, and their names, `NAMES_MOST` at most; apart
-        from them those that are registered but connected nowhere."""
+        from them those that are registered but connected nowhere. `unheard`: control processes that are alive
+        but have not yet said who is connected to them: until they have, nobody knows who lags."""
         newest = self.newest()
         behind = sorted(name for name, sight in newest.items() if sight.version < version)
         away = sorted(name for name in registered if name not in newest)
         return {"version": version, "connected": len(newest), "in_force": len(newest) - len(behind),
                 "lagging": len(behind), "names": behind[:NAMES_MOST], "registered": len(registered),
-                "unreachable": len(away), "unreachable_names": away[:NAMES_MOST]}
+                "unreachable": len(away), "unreachable_names": away[:NAMES_MOST],
+                "unheard": sorted(set(alive) - set(self.told))}
--- a/cypressledge/controlplane/part.py
+++ b/cypressledge/controlplane/part.py
@@ -8,7 +8,7 @@
 import os
 
 from cypressledge.config import ConfigError, address
-from cypressledge.contract import ListKind, State
+from cypressledge.contract import State
 from cypressledge.controlplane.agent import FollowerAgent
 from cypressledge.controlplane.messages import Change
 from cypressledge.controlplane.settings import read_control
@@ -36,7 +36,7 @@
             broker.management.add("/control/status", "GET", lambda r: (200, self._status()))
 
     def _place(self, env) -> tuple[str, str, str]:
-        """(zone, region, fleet address): by the fleet's file, or the environment; no address without a fleet."""
+        """(zone, region, fleet address): by the fleet's file, or the environment; no address without it."""
         zone, region = env.get("ROUTER_ZONE", ""), env.get("ROUTER_REGION", "")
         if self.fleet is None:
             return zone, region, ""
@@ -103,7 +103,8 @@
 
 def _listed(name: str, engine: Engine) -> Listed:
     host, port = address(engine.address)
-    return Listed(name, host, port, STATES[engine.state], engine.kind, engine.zone, engine.cell, engine.born_ms)
+    return Listed(name, host, port, STATES[engine.state], engine.kind, engine.zone, engine.cell,
+                  engine.born_ms)
 
 
 def follow(file: str, broker) -> ControlPart:
--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -23,6 +23,7 @@
 from cypressledge.controlplane.frames import HELLO_S, Ended, Frames, Traffic, connect
 from cypressledge.controlplane.history import History
 from cypressledge.controlplane.lag import InForce
+from cypressledge.controlplane.learner import Learner
 from cypressledge.controlplane.messages import (
     FORMAT, FRAME_MOST, Append, Change, Goodbye, Hello, Message, Op, Register, Seen, Snapshot, Welcome,
     encode,
@@ -74,10 +75,10 @@
 
 
 class ControlProcess:
-    """All parts of one control process. `disk`: its store, opened; `seed`: the first changes of a new
+    """All parts of one control process. `disk`: its store, opened; none where it doesn't vote; `seed`: the first changes of a new
     history, where this process may begin one. Raises `ConfigError`, `StateError`, `DiskError`, `OSError`."""
 
-    def __init__(self, settings: ControlSettings, name: str, disk: Store, faults: Faults,
+    def __init__(self, settings: ControlSettings, name: str, disk: Store | None, faults: Faults,
                  seed: list[Op] | None = None, rejoin: bool = False) -> None:
         self.settings, self.spec, self.name = settings, settings.server(name), name
         self.run_id = new_run()
@@ -93,7 +94,7 @@
         self.last: tuple[Message | None, bytes] = (None, b"")  # encoded last: one snapshot goes to many
         self.waiting: list[Waiting] = []
         self.in_force, self.news, self.rest_until = InForce(), False, 0
-        self.reported, self.report_due, self.report_all = "", 0, True
+        self.reported, self.report_due, self.report_all = ("", 0), 0, True
         self.register_due, self.registered = 0, {}  # key -> (value, µs when it was sent on or proposed)
         self.wanted_ops: dict[str, Op] = {}
         self.history = History(FleetState())
@@ -102,9 +103,8 @@
                                    self._event)
         now = self.clock.now()
         self.node = self._node(now)
-        self.replica = Replica(name, self.run_id, settings.voters, disk, now, self._to_peer, self._committed,
-                               self._event, rejoin, settings.term)
-        if seed is not None:
+        self.replica = self._replica(now, rejoin)
+        if seed is not None and self.spec.votes:
             self.replica.begin(f"{name}-{self.run_id:x}", seed)
         self.listener = Listener(address(self.spec.address), self.counters, "control", self._serve, Crowd())
         self.listener.most = settings.brokers_most + SPARE
@@ -113,7 +113,16 @@
                            ("history", self._changes)):
             self.operators.add(f"/control/{path}", call)
         self.parts = [*self.node.parts, self.own, self.listener.run, self.operators.server.listener.run,
-                      *(partial(self._dial, s) for s in settings.servers if s.name != name)]
+                      *(partial(self._dial, s) for s in settings.servers if s.name != name),
+                      *getattr(self.replica, "parts", ())]
+
+    def _replica(self, now: int, rejoin: bool) -> Replica | Learner:
+        told = self.settings
+        if not self.spec.votes:
+            return Learner(self.name, self.run_id, told, self.spec.zone, self.spec.region, self.log,
+                           self._committed)
+        return Replica(self.name, self.run_id, told.voters, self.disk, now, self._to_peer, self._committed,
+                       self._event, rejoin, told.term)
 
     def _node(self, now: int) -> FleetNode:
         told = self.settings
@@ -203,10 +212,10 @@
         self.counters.add(f"control.{event}")
         if event in ("primary", "stepped_down"):
             self._note(event, epoch=what["epoch"], version=what.get("version", 0))
+        if event in ("recovering", "stepped_down"):
             self.wanted_ops.clear()
             self.registered.clear()
             self.in_force.clear()
-            self.report_all = True
         if event == "disk_error":  # guards against a full disk that takes the lease from the others again
             self.rest_until = self.clock.now() + 2 * self.settings.term
         if "broker" in what:  # in the log that is who writes
@@ -227,8 +236,8 @@
             return self.report_due
         self.report_due = now + REPORT_US
         primary = self.primary
-        if primary != self.reported:
-            self.reported, self.report_all = primary, True
+        if (primary, self.replica.epoch) != self.reported:  # a new one knows nothing yet
+            self.reported, self.report_all = (primary, self.replica.epoch), True
         if not primary or primary != self.name and primary not in self.links:
             return self.report_due
         seen = self.publisher.seen(self.report_all)
@@ -382,10 +391,10 @@
 
     def _from_peer(self, now: int, name: str, message: Message) -> None:
         if isinstance(message, Seen):
-            if self.leads:
+            if self.replica.role != "standby":  # one that is about to be the primary, too
                 self.in_force.report(now, name, message)
         elif isinstance(message, Register):
-            if self.leads:
+            if self.replica.role != "standby":
                 self.wanted_ops |= {op.key: op for op in message.ops if op.key.startswith("broker/")}
         else:
             self.replica.receive(now, name, message)
@@ -537,7 +546,8 @@
         state = self.history.state
         registered = [key[7:] for key in state.entries if key.startswith("broker/")]
         version = number(request, "version", 0) or state.version
-        return 200, {"answer": "lag", "newest": state.version} | self.in_force.lag(version, registered)
+        return 200, {"answer": "lag", "newest": state.version} | self.in_force.lag(
+            version, registered, self.node.alive())
 
     def _state(self, request) -> tuple[int, dict]:
         prefix, state = request.params.get("prefix", ""), self.history.state
@@ -573,6 +583,7 @@
         """In good order, within `LAST_WORDS` and a little: what waits for a majority is not known."""
         now = self.clock.now()
         self.stopped = True
+        self.listener.stop()
         self.replica.lease(now, None, 0)
         self.node.stop()
         self._answer(now)
@@ -580,7 +591,8 @@
         for frames in [*self.links.values(), *self.heard.values()]:
             frames.finish()
         gevent.sleep(LAST_WORDS)
-        self.disk.close()
+        if self.disk is not None:
+            self.disk.close()
 
     def _broken(self, part) -> None:
         # A part that ended by an exception can't be done without: end, to be started anew.
@@ -593,11 +605,12 @@
     buffer.GROWN.most, stream.QUEUED.most = GROWN_MOST, QUEUED_MOST
     try:
         settings = read_control(file)
-        settings.server(name)
-        os.makedirs(folder, exist_ok=True)
         faults = Faults(os.environ.get(VARIABLE, ""))
         create = "rejoin" if rejoin else "" if seed is None else "first"
-        disk = Store(os.path.join(folder, STORE), name, create, faults.disk)
+        disk = None
+        if settings.server(name).votes:
+            os.makedirs(folder, exist_ok=True)
+            disk = Store(os.path.join(folder, STORE), name, create, faults.disk)
         ops = None if seed is None else [Op(k, canonical(v)) for k, v in seed["set"].items()]
         process = ControlProcess(settings, name, disk, faults, ops, rejoin)
     except (ConfigError, StateError, StoreError, DiskError) as err:
