--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -75,8 +75,9 @@
 
 
 class ControlProcess:
-    """All parts of one control process. `disk`: its store, opened; none where it doesn't vote; `seed`: the first changes of a new
-    history, where this process may begin one. Raises `ConfigError`, `StateError`, `DiskError`, `OSError`."""
+    """All parts of one control process. `disk`: its store, opened; none where it doesn't vote; `seed`: the
+    first changes of a new history, where this process may begin one. Raises `ConfigError`, `StateError`,
+    `DiskError`, `OSError`."""
 
     def __init__(self, settings: ControlSettings, name: str, disk: Store | None, faults: Faults,
                  seed: list[Op] | None = None, rejoin: bool = False) -> None:
@@ -120,7 +121,7 @@
         told = self.settings
         if not self.spec.votes:
             return Learner(self.name, self.run_id, told, self.spec.zone, self.spec.region, self.log,
-                           self._committed)
+                           self._learned)
         return Replica(self.name, self.run_id, told.voters, self.disk, now, self._to_peer, self._committed,
                        self._event, rejoin, told.term)
 
@@ -208,6 +209,11 @@
         state = self.history.state
         self._note("committed", epoch=state.epoch, version=state.version, digest=state.digest.hex())
 
+    def _learned(self, changes: list[Change] | None, snapshot: Snapshot | None) -> None:
+        """As `_committed`, from a learner's own greenlet."""
+        self._committed(changes, snapshot)
+        self.wake()
+
     def _event(self, event: str, **what) -> None:
         self.counters.add(f"control.{event}")
         if event in ("primary", "stepped_down"):
