--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -57,6 +57,7 @@
 REGISTER_US = 100_000  # in which registrations are gathered into one change
 AGAIN_US = 1_000_000  # after which a registration is sent, or proposed, once more
 REGISTER_MOST = 1_000  # keys of one such change
+REST_MS = 5_000  # that a broker stays away while the disk here refuses
 WAIT_US = 5_000_000  # for a change's majority
 QUEUED_MOST, GROWN_MOST = 256 << 20, 64 << 20  # bytes to, and from, all peers and brokers together
 LAST_WORDS = 0.5  # seconds for them
@@ -222,12 +223,20 @@
             self.wanted_ops.clear()
             self.registered.clear()
             self.in_force.clear()
-        if event == "disk_error":  # guards against a full disk that takes the lease from the others again
-            self.rest_until = self.clock.now() + 2 * self.settings.term
+        if event == "disk_error":
+            self._rest()
         if "broker" in what:  # in the log that is who writes
             what["of"] = what.pop("broker")
         self.log.info(NAMES.get(event, event), **what)
 
+    def _rest(self) -> None:
+        """The disk refuses. Guards against such a one that takes the lease from the others again, and that
+        keeps brokers while its history stands still."""
+        now = self.clock.now()
+        if now >= self.rest_until:
+            self.publisher.stop()
+        self.rest_until = now + 2 * self.settings.term
+
     def _note(self, event: str, **what) -> None:
         """For the laboratory: what was done when, on the machine's clock."""
         if self.record:
@@ -325,6 +334,11 @@
             frames.close()
 
     def _serve_broker(self, hello: Hello, frames: Frames) -> None:
+        if self.stopped or self.clock.now() < self.rest_until:
+            frames.send(Goodbye("stopping", REST_MS))
+            frames.finish()
+            frames.receive(1.0)
+            return
         frames.most = BROKER_MOST
         conn = next(self.numbers)
         self.brokers[conn] = frames
--- /dev/null
+++ b/tests/test_controlplane_processes.py
@@ -0,0 +1,276 @@
+"""Control processes, and brokers that follow them, as processes: changes, a dead primary, nobody there."""
+
+import signal
+import time
+
+import pytest
+import yaml
+from controlplane import TERM, WAIT, Plane, local, run
+from gevent import socket
+
+from cypressledge.config import ConfigError
+from cypressledge.controlplane.follower import Server, order
+from cypressledge.controlplane.settings import read_control
+from cypressledge.lab.demo import ask
+from cypressledge.lab.engines import LabEngine
+from cypressledge.lab.processes import until
+from cypressledge.lab.site import SETTINGS
+
+ENGINE = {"address": "127.0.0.1:9", "kind": "node-8c", "zone": "room1"}
+
+
+@pytest.fixture
+def plane(request):
+    """Three control processes, or as many and of them as many voters as a test asks for."""
+    made = Plane(**getattr(request, "param", {}))
+    try:
+        yield made
+    finally:
+        made.end()
+
+
+def in_force(broker, version):
+    return until(lambda: broker.status().get("version", 0) >= version, WAIT, 0.05)
+
+
+def version_of(words):
+    return int(words.split("taken as version ")[1].split()[0])
+
+
+def test_a_change_comes_into_force_at_a_broker(plane):
+    plane.start()
+    engine = LabEngine("s-1", "room1")
+    broker = plane.broker("n1")
+    assert in_force(broker, 1), plane.words()
+    port = engine.server.server_port
+    code, words = plane.change({"engines": {"s-1": ENGINE | {"address": f"127.0.0.1:{port}"}},
+                                "config": {"Customers": [{"Name": "sahel"}, {"Name": "dune"}]}})
+    assert code == 0, words + plane.words()
+    assert "in force at 1 of 1 brokers" in words
+    told = broker.status()
+    assert (told["version"], told["refused"], told["engines_from_here"]) == (version_of(words), "", True)
+    assert told["digest"] == plane.controls[plane.primary()].status()["digest"]
+    assert broker.served(), broker.words()
+    assert broker.figure("reloads") == 2  # the seed's settings, and the change's
+    engine.server.stop()
+
+
+def test_a_change_that_is_refused_changes_nothing(plane):
+    plane.start()
+    before = plane.controls[plane.primary()].status()["version"]
+    code, words = plane.change({"config": {"Classes": []}})
+    assert code == 2 and "refused: bad: config:" in words
+    code, words = plane.change({"engines": {"s-1": ENGINE, "s-2": ENGINE}})
+    assert code == 2 and "at the address of" in words
+    code, words = plane.change({"engines": {"s-1": ENGINE}}, "--dry-run")
+    assert (code, words) == (0, f"would be version {before + 1}: 1 keys\n")
+    assert plane.controls[plane.primary()].status()["version"] == before
+    assert plane.change({"engines": {"s-1": ENGINE}}, "--against", str(before))[0] == 0
+    code, words = plane.change({"engines": {"s-1": ENGINE | {"zone": "x"}}}, "--against", str(before))
+    assert code == 2 and "refused: clash: changed meanwhile: engine/s-1" in words
+
+
+def test_another_takes_over_from_a_killed_primary(plane):
+    first = plane.start()
+    broker = plane.broker("n1")
+    code, words = plane.change({"engines": {"s-1": ENGINE}}, "--request", "one")
+    assert code == 0, words + plane.words()
+    plane.controls[first].kill()
+    killed = time.monotonic()
+    second = plane.primary(first, 8)
+    assert time.monotonic() - killed < 8
+    code, again = plane.change({"engines": {"s-1": ENGINE}}, "--request", "one")
+    assert (code, version_of(again)) == (0, version_of(words)), again + plane.words()
+    code, more = plane.change({"engines": {"s-2": ENGINE | {"address": "127.0.0.1:8"}}})
+    assert code == 0 and "in force at 1 of 1 brokers" in more, more + plane.words()
+    assert version_of(more) > version_of(words)
+    assert broker.status()["digest"] == plane.controls[second].status()["digest"]
+    plane.controls[first].start()  # its disk is there: no flag
+    assert until(lambda: plane.controls[first].status().get("version", 0) >= version_of(more), WAIT)
+
+
+def test_a_stopped_primary_gives_the_lease_back(plane):
+    first = plane.start()
+    code, seconds = plane.controls[first].leave(WAIT)
+    assert code == 0 and seconds < 2
+    began = time.monotonic()
+    plane.primary(first)
+    assert time.monotonic() - began < TERM
+    assert "counters (exit)" in plane.controls[first].words()
+
+
+def test_a_broker_serves_with_no_control_process(plane):
+    engine = LabEngine("s-1", "room1")
+    broker = plane.broker("n1", [engine.member()])  # nobody is there yet
+    assert broker.served(), broker.words()
+    told = broker.status()
+    assert (told["version"], told["engines_from_here"]) == (0, False)
+    plane.start()
+    assert in_force(broker, 1), plane.words()
+    for control in plane.controls.values():
+        control.kill()
+    assert until(lambda: broker.status()["stale_ms"] > 2_000, WAIT, 0.1)
+    assert broker.status()["version"] == 1
+    assert broker.served(), broker.words()
+    engine.server.stop()
+
+
+def test_a_lost_answer_is_had_again_under_the_same_request(plane):
+    for control in plane.controls.values():
+        control.start("--first", str(plane.seed), fault="kill-before-answer:1")
+    first = plane.primary()
+    code, words = plane.change({"engines": {"s-1": ENGINE}}, "--request", "one", "--wait", "1")
+    assert plane.controls[first].process.wait(WAIT) == -signal.SIGKILL
+    if code:
+        assert "repeat it with --request one" in words
+    for name, control in plane.controls.items():  # without the fault
+        control.kill()
+        control.start()
+        assert until(control.status, WAIT), name
+    code, words = plane.change({"engines": {"s-1": ENGINE}}, "--request", "one")
+    assert code == 0, words + plane.words()
+    code, told, _ = run("control", "history", *plane.at(), "--json")
+    assert code == 0 and told.count('"request": "one"') <= 1
+
+
+def test_a_full_disk_ends_a_primary_and_no_change_is_lost(plane):
+    for name, control in plane.controls.items():
+        control.start("--first", str(plane.seed), fault="disk-full:append:3" if name == "c1" else "")
+    plane.primary()
+    servers = [Server(name, "") for name in plane.controls]
+    name = next(n for n in map(str, range(100)) if order(n, "", "", servers)[0].name == "c1")
+    broker = plane.broker(name)  # it follows the one whose disk will be full
+    assert in_force(broker, 1) and broker.status()["server"] == "c1", plane.words()
+    for number in range(4):
+        engine = ENGINE | {"address": f"127.0.0.1:{number + 1}"}
+        code, words = plane.change({"engines": {f"s-{number}": engine}})
+        assert code == 0 and "in force at 1 of 1 brokers" in words, words + plane.words()
+    assert plane.controls["c1"].events("disk_error")
+    assert broker.status()["server"] != "c1"
+    primary = plane.controls[plane.primary("c1")]
+    code, told, _ = run("control", "state", "--at", primary.spec["management"], "--prefix", "engine/")
+    assert [f"engine/s-{n}" in told for n in range(4)] == [True] * 4
+
+
+@pytest.mark.parametrize("plane", [{"count": 4, "voters": 3}], indirect=True)
+def test_one_that_does_not_vote_hands_the_history_on(plane):
+    plane.start()
+    others = [c for c in plane.controls.values() if c.name != "c4"]
+    learner = plane.controls["c4"]
+    assert until(lambda: learner.status().get("version") == 1, WAIT), plane.words()
+    assert learner.status()["role"] == "learner"
+    told = yaml.safe_load(plane.file.read_text())
+    told["servers"] = [s for s in told["servers"] if s["name"] == "c4"] + [
+        s | {"address": local(), "votes": True} for s in told["servers"] if s["name"] != "c4"]
+    plane.file.write_text(yaml.safe_dump(told))  # to the broker the others are out of reach
+    broker = plane.broker("n1")
+    assert in_force(broker, 1), plane.words()
+    assert broker.status()["server"] == "c4"
+    code, words = plane.change({"engines": {"s-1": ENGINE}})
+    assert code == 0 and "in force at 2 of 2 brokers" in words, words  # the learner is followed up, too
+    assert [c.process.poll() for c in others] == [None] * 3
+
+
+def test_a_broker_under_a_new_address_needs_no_file_change(plane):
+    places = {n: local(socket.SOCK_DGRAM) for n in ("n0", "n1", "n2")}
+
+    def fleet(places):
+        return {"peers": [{"name": n, "address": a, "zone": "room1"} for n, a in places.items()],
+                "voters": [{"version": 1, "names": list(places)}], "term_s": TERM, "ping_s": 0.2}
+
+    plane.start()
+    for name in places:
+        plane.broker(name, fleet=fleet(places))
+
+    def registered():
+        code, told, _ = run("control", "state", *plane.at(), "--prefix", "broker/")
+        return all(f'"{place}"' in told for place in places.values())
+
+    def sees(viewer, seen):
+        peers = {p["name"]: p["state"] for p in ask(plane.brokers[viewer], "/fleet/peers") or ()}
+        return peers.get(seen) == "alive"
+
+    assert until(registered, WAIT), plane.words()
+    assert until(lambda: sees("n0", "n1") and sees("n1", "n0"), WAIT)
+    plane.brokers["n1"].kill()
+    assert until(lambda: not sees("n0", "n1"), WAIT)
+    places["n1"] = local(socket.SOCK_DGRAM)
+    plane.broker("n1", fleet=fleet(places))  # its own file alone says so
+    assert until(registered, WAIT), plane.words()
+    assert until(lambda: all(sees(n, "n1") and sees("n1", n) for n in ("n0", "n2")), WAIT), plane.words()
+    # It stays so: they hear its answers, and not only its word.
+    lost = until(lambda: not all(sees(n, "n1") and sees("n1", n) for n in ("n0", "n2")), 2.0)
+    assert not lost, plane.words()
+
+
+def test_slow_silent_and_garbled_peers_are_given_up(plane):
+    control = plane.controls["c1"]
+    control.start("--first", str(plane.seed))
+    assert until(control.status, WAIT), plane.words()
+    host, port = control.spec["address"].split(":")
+
+    def ended(raw, pause=None):
+        """Seconds until the connection is ended, where a peer says that at once, or a byte at a time."""
+        with socket.create_connection((host, int(port)), 2) as sock:
+            began = time.monotonic()
+            sock.settimeout(0.5 if pause else 10)
+            for part in [raw[i:i + 1] for i in range(len(raw))] if pause else [raw]:
+                try:
+                    sock.sendall(part)
+                    if not pause:
+                        break
+                    if sock.recv(1) == b"":
+                        break
+                except TimeoutError:
+                    continue
+                except OSError:
+                    break
+            try:
+                while sock.recv(4096):
+                    pass
+            except OSError:
+                pass
+            return time.monotonic() - began
+
+    assert ended(b"\x00\x00\x00\x05abcde") < 2
+    assert ended(b"\xff\xff\xff\xff" + bytes(100)) < 2
+    assert ended(b"GET / HTTP/1.1\r\n\r\n") < 2
+    assert 4 < ended(b"\x00\x00\x00\x40" + bytes(40), pause=0.5) < 8  # Hello has 5 s
+    assert control.process.poll() is None
+
+
+def test_an_empty_store_needs_a_word(plane):
+    control = plane.controls["c1"]
+    control.start()
+    assert control.process.wait(WAIT) == 2
+    assert "Start with --rejoin" in control.words() and len(control.words().splitlines()) == 1
+
+
+def server(number, **more):
+    return {"name": f"c{number}", "address": f"127.0.0.1:{9800 + number}",
+            "fleet": f"127.0.0.1:{9810 + number}", "management": f"127.0.0.1:{9820 + number}"} | more
+
+
+@pytest.mark.parametrize("told, why", [
+    ({"servers": [server(1), server(2)]}, "2 control processes vote; 3, 5 or 7 can"),
+    ({"servers": [server(n) for n in range(1, 5)]}, "4 control processes vote; 3, 5 or 7 can"),
+    ({"servers": [server(n) for n in range(1, 10)]}, "9 control processes; 3 to 8 can be"),
+    ({"servers": [server(1), server(2), server(2)]}, "control process c2 is named twice"),
+    ({"servers": [server(1), server(2), server(3, address="127.0.0.1:9801")]},
+     "address 127.0.0.1:9801 is named twice"),
+    ({"servers": [server(1), server(2), server(3, fleet="nowhere")]}, "no HOST:PORT: 'nowhere'"),
+    ({"servers": [server(1), server(2), server(3)], "term": 3}, "Object contains unknown field `term`"),
+    ({"servers": [server(1), server(2), server(3, votes="yes")]},
+     "Expected `bool`, got `str` - at `$.servers[2].votes`"),
+    ([], "Expected `object`, got `array`")])
+def test_a_mistake_in_the_file_is_one_plain_line(tmp_path, told, why):
+    file = tmp_path / "control.yaml"
+    file.write_text(yaml.safe_dump(told))
+    with pytest.raises(ConfigError) as err:
+        read_control(str(file))
+    assert str(err.value) == f"{file}: {why}"
+
+
+def test_the_file_that_is_deployed_is_good():
+    assert read_control("deploy/control.yaml").voters == ("c1", "c2", "c3")
+    assert SETTINGS["Classes"]
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -245,7 +245,8 @@
 
 
 def test_run_imports_nothing_of_it(tmp_path):
-    """As `deploy/balancer.toml` starts it: no package of the fleet, the laboratory or their libraries."""
+    """As `deploy/balancer.toml` starts it: no package of the fleet, the control plane, the laboratory, or
+    their libraries."""
     brokers = Brokers(str(tmp_path))
     broker = brokers.add("n1", {})
     code = ("import os, sys; from cypressledge.broker import assemble; assemble([], os.environ); "
@@ -254,8 +255,8 @@
                           env={"ROUTER_CONFIG": str(broker.config_file), "PATH": ""}, timeout=WAIT)
     modules = done.stdout.decode().split()
     assert "cypressledge.core" in modules
-    bad = ("cypressledge.fleet", "cypressledge.lab", "cypressledge.cli", "msgspec", "yaml", "structlog",
-           "click", "tabulate")
+    bad = ("cypressledge.fleet", "cypressledge.controlplane", "cypressledge.lab", "cypressledge.cli",
+           "msgspec", "yaml", "structlog", "click", "tabulate", "sqlite3")
     assert [m for m in modules if m.startswith(bad)] == []
 
 
