--- a/cypressledge/controlplane/cli.py
+++ b/cypressledge/controlplane/cli.py
@@ -16,7 +16,8 @@
 from cypressledge.clitools import ManagementAddress, as_json, show
 from cypressledge.config import address
 
-ANSWER_S = 8.0  # seconds for an answer: a change may wait 5 for its majority
+ANSWER_S = 2.0  # seconds for an answer
+CHANGE_S = 6.0  # for that to a change, which may wait 5 for its majority
 PAUSE_S = 0.3  # seconds between tries, and between looks at who lags
 KINDS = {"config": "config", "engines": "engine", "brokers": "broker"}
 
@@ -32,7 +33,7 @@
 
 def ask(at: Address, method: str, path: str, body: str = "") -> tuple[int, dict]:
     """A control process's status and JSON. Raises `NoAnswer`."""
-    conn = http.client.HTTPConnection(*at, timeout=ANSWER_S)
+    conn = http.client.HTTPConnection(*at, timeout=CHANGE_S if method == "POST" else ANSWER_S)
     try:
         conn.request(method, path, body.encode())
         answer = conn.getresponse()
@@ -161,7 +162,7 @@
 def lag(at: tuple[Address, ...], version: int) -> None:
     """Who has not a version in force yet. Exit code 1 where anybody lags."""
     try:
-        code, told = Primary(at, time.monotonic() + ANSWER_S).ask("GET", f"/control/lag?version={version}")
+        code, told = Primary(at, time.monotonic() + CHANGE_S).ask("GET", f"/control/lag?version={version}")
     except NoAnswer as err:
         raise click.ClickException(str(err)) from None
     if code != 200:
--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import resource
 import signal
 import time
 from functools import partial
@@ -51,6 +52,7 @@
 HELLO_MOST = 4 << 10  # bytes of the first frame
 BROKER_MOST = 64 << 10  # bytes of a broker's later ones
 SPARE = 64  # connections beyond the brokers': peers, and those that haven't said Hello
+OWN_SOCKETS = 128  # descriptors that are nobody's connection, or an operator's
 SILENT_S = 60.0  # seconds between two words of a peer: only its end is waited for
 BACK_OFF = (0.05, 1.0)  # seconds between tries to reach a peer, doubling
 REPORT_US = 200_000  # between words to the primary of what brokers have in force
@@ -495,6 +497,7 @@
             if not self.leads:
                 raise NotPrimary(self.primary)
             base = replica.tail.version if asked.base is None else asked.base
+            check_classes(replica.tail, asked.ops)
             if asked.dry_run:
                 self._try(asked, base, exchange)
                 return
@@ -620,11 +623,36 @@
         os._exit(3)
 
 
+def check_classes(state: FleetState, ops: list[Op]) -> None:
+    """Guards against settings that no broker can take before its restart. Raises `StateError`."""
+    held = state.entries.get("config/Classes")
+    new = next((op.value for op in ops if op.key == "config/Classes"), None)
+    if held is None or new is None:
+        return
+    names = [[k.get("Name") for k in classes if isinstance(k, dict)] if isinstance(classes, list) else []
+             for classes in map(plain, (held.value, new))]
+    if names[0] != names[1]:
+        raise StateError("config: brokers take other classes only at a restart: remove all of config, "
+                         "restart them with files that hold the new classes, then set it again")
+
+
+def allow_sockets(brokers: int) -> None:
+    """Guards against brokers that take the descriptors which the store and the other processes need."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = brokers + SPARE + OWN_SOCKETS
+    if soft < wanted:
+        soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    if soft < wanted:
+        raise ConfigError(f"brokers_most needs {wanted} descriptors; this process may have {soft}")
+
+
 def main(file: str, name: str, folder: str, seed: dict | None, rejoin: bool) -> int:
     """Run one control process; what is wrong with its settings or its store is one plain line, and 2."""
     buffer.GROWN.most, stream.QUEUED.most = GROWN_MOST, QUEUED_MOST
     try:
         settings = read_control(file)
+        allow_sockets(settings.brokers_most)
         faults = Faults(os.environ.get(VARIABLE, ""))
         create = "rejoin" if rejoin else "" if seed is None else "first"
         disk = None
--- a/tests/controlplane.py
+++ b/tests/controlplane.py
@@ -83,14 +83,15 @@
 
 
 class Broker(Running):
-    """A broker that follows them; `fleet`: what its fleet file holds, none without the fleet's part."""
+    """A broker that follows them; `fleet`: what its fleet file holds, none without the fleet's part;
+    `settings`: of its own file, in place of the laboratory's."""
 
-    def __init__(self, plane, name, members=(), fleet=None):
+    def __init__(self, plane, name, members=(), fleet=None, settings=None):
         super().__init__(name, plane.folder)
         self.plane, self.fleet = plane, fleet
         self.port, self.management = free_port(), free_port()
         self.config = plane.folder / f"{name}.json"
-        self.config.write_text(json.dumps(config(name, self.port, self.management, list(members))))
+        self.config.write_text(json.dumps(config(name, self.port, self.management, list(members), settings)))
 
     def start(self):
         more = []
@@ -155,8 +156,8 @@
         assert got, self.words()
         return got
 
-    def broker(self, name, members=(), fleet=None):
-        self.brokers[name] = Broker(self, name, members, fleet)
+    def broker(self, name, *what, **how):
+        self.brokers[name] = Broker(self, name, *what, **how)
         self.brokers[name].start()
         return self.brokers[name]
 
--- /dev/null
+++ b/tests/test_controlplane_parts.py
@@ -0,0 +1,165 @@
+"""The small parts round the control plane's decisions: frames, what lags, an operator's change, faults."""
+
+import json
+import time
+
+import gevent
+import pytest
+from gevent import socket
+
+from cypressledge.config import ConfigError
+from cypressledge.controlplane import frames as frames_module
+from cypressledge.controlplane.faults import Faults
+from cypressledge.controlplane.frames import Ended, Frames, Traffic
+from cypressledge.controlplane.lag import NAMES_MOST, InForce
+from cypressledge.controlplane.messages import FRAME_MOST, Goodbye, Have, Seen, Whole, encode
+from cypressledge.controlplane.operators import BadRequest, read_change
+from cypressledge.controlplane.replica import DiskError
+from cypressledge.controlplane.state import plain
+
+ONE, TWO = Have(7, 3, bytes(16)), Goodbye("stopping", 5)
+
+
+def pair():
+    """Two ends of a loopback TCP connection."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(1)
+    near = socket.create_connection(listener.getsockname())
+    far, _ = listener.accept()
+    listener.close()
+    return near, far
+
+
+@pytest.fixture
+def ends():
+    near, far = pair()
+    frames = Frames(near, Traffic())
+    yield frames, far
+    frames.close()
+    far.close()
+
+
+def test_frames_come_whole_however_they_are_cut(ends):
+    frames, far = ends
+    raw = encode(ONE) + encode(TWO) + encode(Whole(bytes(300_000)))
+
+    def send():
+        for size in (1, 2, 3, 5, 8, 13):
+            nonlocal raw
+            far.sendall(raw[:size])
+            raw = raw[size:]
+            gevent.sleep(0)
+        far.sendall(raw)
+
+    sending = gevent.spawn(send)
+    assert [frames.receive(2), frames.receive(2)] == [ONE, TWO]
+    assert len(frames.receive(2).packed) == 300_000
+    assert frames.receive(0.01) is None
+    sending.join()
+    assert frames.traffic.show()["in.have"] == {"frames": 1, "bytes": len(encode(ONE))}
+    far.close()
+    with pytest.raises(Ended, match="closed"):
+        frames.receive(2)
+
+
+@pytest.mark.parametrize("raw, why", [
+    (b"\x00\x00\x00\x00", "a frame of 0 bytes"), (b"\xff\xff\xff\xff", "a frame of 4294967295 bytes"),
+    (b"\x00\x00\x00\x03abc", "nonsense"), ((FRAME_MOST + 1).to_bytes(4, "big"), "a frame of 4194305 bytes")])
+def test_what_is_no_frame_ends_the_connection(ends, raw, why):
+    frames, far = ends
+    far.sendall(raw)
+    with pytest.raises(Ended, match=why):
+        frames.receive(2)
+
+
+def test_a_frame_that_does_not_end_is_given_up(ends, monkeypatch):
+    monkeypatch.setattr(frames_module, "PART_S", 0.3)
+    frames, far = ends
+    far.sendall(encode(ONE) + b"\x00\x00\x00\x40half")
+    assert frames.receive(1) == ONE
+    began = time.monotonic()
+    with pytest.raises(Ended, match="too slow"):
+        while True:
+            assert frames.receive(0.05) is None
+    assert 0.2 < time.monotonic() - began < 2
+
+
+def test_one_that_does_not_read_is_given_up_and_nobody_waits(ends, monkeypatch):
+    monkeypatch.setattr(frames_module, "QUEUED_MOST", 1 << 20)
+    near, far = pair()
+    frames = Frames(near, Traffic())
+    began = time.monotonic()
+    for _ in range(100):
+        frames.send(Whole(bytes(100_000)))
+    assert time.monotonic() - began < 1
+    with pytest.raises(Ended, match="peer does not read"):
+        frames.receive(2)
+    far.close()
+
+
+def test_last_words_arrive_before_the_end(ends):
+    frames, far = ends
+    far.sendall(encode(ONE) * 3)  # never read here: a close over them would reset the connection
+    frames.send(TWO)
+    frames.finish()
+    reader = Frames(far, Traffic())
+    assert reader.receive(2) == TWO
+    with pytest.raises(Ended, match="closed"):
+        reader.receive(2)
+
+
+def test_who_lags_is_said_by_those_who_know():
+    table = InForce()
+    table.report(1, "c1", Seen(True, [("b1", 11, 5), ("b2", 12, 4)]))
+    told = table.lag(5, {"b1", "b2", "b3"}, {"c1", "c2"})
+    assert (told["connected"], told["in_force"], told["names"]) == (2, 1, ["b2"])
+    assert (told["unreachable_names"], told["unheard"]) == (["b3"], ["c2"])
+    table.report(2, "c2", Seen(False, [("b3", 13, 5)]))  # changes of what isn't known here
+    assert table.lag(5, {"b3"}, {"c1", "c2"})["unheard"] == ["c2"]
+    table.report(3, "c2", Seen(True, [("b2", 12, 5)]))  # b2 has moved
+    assert table.lag(5, (), {"c1", "c2"})["lagging"] == 0
+    table.report(4, "c1", Seen(False, [("b2", 12, -1)]))
+    assert table.newest()["b2"].version == 5
+    table.drop("c2")
+    assert table.lag(5, {"b2"}, {"c1"})["unreachable_names"] == ["b2"]
+    table.report(5, "c1", Seen(True, [(f"x{i}", 1, 0) for i in range(200)]))
+    told = table.lag(1, (), {"c1"})
+    assert (told["lagging"], len(told["names"])) == (200, NAMES_MOST)
+
+
+def test_a_change_in_json():
+    asked = read_change(json.dumps({
+        "base": 3, "request": "r", "who": "me", "why": "so",
+        "ops": {"set": {"config/Step": 5000}, "remove": ["engine/s-1"]}}).encode())
+    assert (asked.base, asked.request, asked.who, asked.why, asked.dry_run) == (3, "r", "me", "so", False)
+    assert [(op.key, op.value and plain(op.value)) for op in asked.ops] == [
+        ("config/Step", 5000), ("engine/s-1", None)]
+
+
+@pytest.mark.parametrize("body", [
+    b"", b"[]", b"{", b'{"ops": 1}', b'{"ops": {"put": {}}}', b'{"ops": {"set": []}}',
+    b'{"ops": {"remove": [1]}}',
+    b'{"base": -1, "ops": {}}', b'{"base": true, "ops": {}}', b'{"request": 1, "ops": {}}', b'{"x": 1}',
+    b'{"ops": {"set": {"config/Step": ' + b"9" * 40 + b"}}}", b"[" * 100_000, b"\xff\xfe"])
+def test_a_change_that_cannot_be_read_is_refused(body):
+    with pytest.raises(BadRequest):
+        read_change(body)
+
+
+def test_faults_strike_at_their_step():
+    faults = Faults("kill-after:append:2")
+    assert [faults.due("promised"), faults.due("append"), faults.due("append"), faults.due("append")] == [
+        False, False, True, False]
+    assert (faults.what, faults.when) == ("kill", "after")
+    assert Faults("kill-before-answer:1").due("answer")
+    full = Faults("disk-full:append:2")
+    full.disk("promise")
+    full.disk("append")
+    for _ in range(2):
+        with pytest.raises(DiskError):
+            full.disk("append")
+    assert not full.due("append")
+    assert not Faults("").due("")
+    with pytest.raises(ConfigError):
+        Faults("kill-sometime")
--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -70,6 +70,71 @@
     assert code == 2 and "refused: clash: changed meanwhile: engine/s-1" in words
 
 
+def test_other_classes_are_not_for_brokers_that_run(plane):
+    """A broker whose file has others says that it refuses; a change to others is refused before that."""
+    plane.start()
+    code, words = plane.change({"config": {"Classes": SETTINGS["Classes"][:2]}})
+    assert code == 2 and "brokers take other classes only at a restart" in words, words
+    broker = plane.broker("n1", settings={"Classes": SETTINGS["Classes"][:1]})
+    assert in_force(broker, 1), plane.words()
+    assert until(lambda: broker.status()["refused"] == "other classes need a restart", WAIT), broker.status()
+    assert (broker.figure("control.refused"), broker.figure("reload_failures")) == (1, 1)
+
+
+def test_a_reload_keeps_what_came_from_the_control_plane(plane):
+    plane.start()
+    engine, other = LabEngine("s-1", "room1"), LabEngine("s-2", "room1")
+    broker = plane.broker("n1", [other.member()])
+    code, words = plane.change({"engines": {
+        "s-1": ENGINE | {"address": f"127.0.0.1:{engine.server.server_port}"}}})
+    assert code == 0, words + plane.words()
+    assert broker.served()
+    before = other.asked
+    broker.process.send_signal(signal.SIGHUP)
+    assert until(lambda: "reload: the new configuration is in force" in broker.words(), WAIT)
+    assert broker.served(20)
+    assert (other.asked, broker.status()["sections"]) == (before, sorted(SETTINGS))
+    engine.server.stop()
+    other.server.stop()
+
+
+@pytest.mark.parametrize("fault", ["kill-after:append:3", "kill-before:append:3", "stop-before:append:4"])
+def test_a_primary_that_fails_amid_a_change_loses_none(plane, fault):
+    """Two Appends begin an epoch, then the change goes to one voter and to the other. Whatever of it had left:
+    what was acknowledged stays, and a repeat comes into force once."""
+    struck = plane.controls["c1"]
+    for name, control in plane.controls.items():
+        control.start("--first", str(plane.seed), fault=fault if name == "c1" else "")
+    for _ in range(12):
+        other = plane.primary()
+        if other == "c1":
+            break
+        plane.controls[other].leave(WAIT)
+        plane.controls[other].start()
+        assert until(plane.controls[other].status, WAIT), plane.words()
+    assert other == "c1", plane.words()
+    changes = {f"r{n}": {"engines": {f"s-{n}": ENGINE | {"address": f"127.0.0.1:{n + 1}"}}} for n in range(3)}
+    for request, what in changes.items():
+        code, words = plane.change(what, "--request", request)
+        assert code == 0, words + plane.words()
+    killed = fault.startswith("kill")
+    assert struck.process.poll() == (-signal.SIGKILL if killed else None), plane.words()
+    if killed:
+        struck.start()
+    else:
+        struck.process.send_signal(signal.SIGCONT)
+    newest = plane.controls[plane.primary("c1")].status()
+    assert until(lambda: struck.status().get("digest") == newest["digest"], WAIT), plane.words()
+    for request, what in changes.items():
+        assert plane.change(what, "--request", request)[0] == 0, plane.words()
+    for told in plane.records("acknowledged"):
+        again = {r["version"] for r in plane.records("acknowledged") if r["request"] == told["request"]}
+        assert again == {told["version"]}
+    assert plane.controls[plane.primary()].status()["version"] == newest["version"]
+    code, words, _ = run("control", "state", *plane.at(), "--prefix", "engine/")
+    assert [f"engine/s-{n}" in words for n in range(3)] == [True] * 3
+
+
 def test_another_takes_over_from_a_killed_primary(plane):
     first = plane.start()
     broker = plane.broker("n1")
