Control plane: after its first frame a connection takes whole ones

Need: a voter or control process ended every connection that carried more than 8 KiB at once, as a first history of 490 engines does: no primary ever began (seen in a trial with 464 hollow brokers). Change: the receive buffer's bound is raised with the frame's (Frames.allow).

--- a/cypressledge/controlplane/frames.py
+++ b/cypressledge/controlplane/frames.py
@@ -58,6 +58,10 @@
         self.finished = False
         tune(sock)
 
+    def allow(self, most: int) -> None:
+        """From now on frames of so many bytes are taken."""
+        self.most, self.buffer.cap = most, most + HEAD + 1
+
     def send(self, message: Message, raw: bytes = b"") -> None:
         """Queue a frame; never blocks. `raw`: the same message, encoded before."""
         raw = raw or encode(message)
--- a/tests/test_controlplane_parts.py
+++ b/tests/test_controlplane_parts.py
@@ -63,6 +63,18 @@
         frames.receive(2)
 
 
+def test_after_the_first_frame_larger_ones_are_taken():
+    near, far = pair()
+    frames, peer = Frames(near, Traffic(), 4096), Frames(far, Traffic())
+    peer.send(ONE)
+    peer.send(Whole(bytes(3_000_000)))
+    assert frames.receive(2) == ONE
+    frames.allow(FRAME_MOST)
+    assert len(frames.receive(5).packed) == 3_000_000
+    frames.close()
+    peer.close()
+
+
 @pytest.mark.parametrize("raw, why", [
     (b"\x00\x00\x00\x00", "a frame of 0 bytes"), (b"\xff\xff\xff\xff", "a frame of 4294967295 bytes"),
     (b"\x00\x00\x00\x03abc", "nonsense"), ((FRAME_MOST + 1).to_bytes(4, "big"), "a frame of 4194305 bytes")])
--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -56,6 +56,23 @@
     engine.server.stop()
 
 
+MANY = {f"node-{n:04d}.cluster": ENGINE | {"address": f"10.0.{n // 250}.{n % 250}:8123",
+                                           "born_ms": 1_790_000_000_000 + 977 * n} for n in range(1_500)}
+
+
+@pytest.mark.parametrize("plane", [{"seed": {"config": SETTINGS, "engines": MANY}}], indirect=True)
+def test_a_large_state_reaches_everybody(plane):
+    """Its first change takes more than any first frame may, towards a voter and towards a broker."""
+    plane.start()
+    broker = plane.broker("n1")
+    assert in_force(broker, 1), plane.words()
+    code, words = plane.change({"engines": {name: None for name in list(MANY)[:700]}})
+    assert code == 0 and "in force at 1 of 1 brokers" in words, words + plane.words()
+    digest = plane.controls[plane.primary()].status()["digest"]
+    assert until(lambda: all(c.status()["digest"] == digest for c in plane.controls.values()), WAIT)
+    assert broker.figure("ready_engines") == len(MANY) - 700
+
+
 def test_a_change_that_is_refused_changes_nothing(plane):
     plane.start()
     before = plane.controls[plane.primary()].status()["version"]
