Control plane: frames over 4 KB between control processes are taken

The accepted end's buffer kept the cap of the first frame (HELLO_MOST): raising Frames.most alone let every larger frame end its connection (TooLong), so a change of some thousand bytes never reached a second disk, and its operator heard "unknown" for ever. Seen in tests/test_controlplane_hard.py with 1000 engines in one change; widen() now raises both.

--- a/cypressledge/controlplane/frames.py
+++ b/cypressledge/controlplane/frames.py
@@ -124,6 +124,10 @@
         self.why = why
         end(self.sock)
 
+    def widen(self, most: int) -> None:
+        """Larger frames are taken from now on."""
+        self.most, self.buffer.cap = most, most + HEAD + 1
+
     def finish(self) -> None:
         """Nothing more is sent; what is queued goes out, then our side is shut. The reader goes on reading
         until the peer has closed, so that the last words aren't lost to a reset."""
--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -325,7 +325,7 @@
             frames.close()
 
     def _serve_broker(self, hello: Hello, frames: Frames) -> None:
-        frames.most = BROKER_MOST
+        frames.widen(BROKER_MOST)
         conn = next(self.numbers)
         self.brokers[conn] = frames
         self.inbox.put((self.publisher.connected, conn, hello))
@@ -383,7 +383,7 @@
         if former is not None:
             former.close()
         self.heard[hello.name] = frames
-        frames.most = FRAME_MOST
+        frames.widen(FRAME_MOST)
         frames.send(Welcome(self.name, self.run_id, self.replica.lineage))
         try:
             while True:
