--- /dev/null
+++ b/tests/test_controlplane_hard.py
@@ -0,0 +1,461 @@
+"""The control plane's hard cases, between processes of the program: killed, stopped, cut off, put back.
+
+Every process is the real one; followers without a broker, operators, relays and a stand-in that lies are in
+the test's own process. Random choices come from fixed seeds.
+"""
+
+import os
+import random
+import resource
+import shutil
+import signal
+import sys
+import time
+from collections import Counter
+
+import gevent
+import pytest
+import yaml
+from control_stands import SEED, TERM, WAIT, ControlledBroker, Plane, Raw, engine
+from gevent import subprocess
+from gevent.server import StreamServer
+
+from cypressledge.controlplane.frames import Ended, Frames, Traffic
+from cypressledge.controlplane.history import pack
+from cypressledge.controlplane.messages import Deltas, Have, Hello, Op, Welcome, Whole, WholeWanted
+from cypressledge.controlplane.publisher import Limits
+from cypressledge.controlplane.state import FleetState, canonical
+from cypressledge.lab.processes import ROOT, until
+from cypressledge.lab.relay import udp_ports
+from cypressledge.lab.site import free_port
+
+MB = 1 << 20
+
+
+@pytest.fixture
+def plane(request):
+    made = Plane(**getattr(request, "param", {}))
+    yield made
+    made.end()
+
+
+def with_plane(**how):
+    return pytest.mark.parametrize("plane", [how], indirect=True, ids=[""])
+
+
+def settled(plane):
+    """The primary, once both others hold all that it has."""
+    def whole():
+        told = plane.primary().status()
+        return told.get("role") == "primary" and list(told["match"].values()) == [told["last"]] * 2 and told
+    return plane[plane.wait(whole, "voters that hold everything")["name"]]
+
+
+# Killed, stopped
+
+
+@with_plane(fault="kill-before-answer:3")
+def test_primary_killed_before_its_answer_and_then_all_at_once(plane):
+    first = settled(plane)
+    follower = plane.follow("b1", "z1")
+    done = {f"engine/e{i}": plane.change({f"engine/e{i}": engine(i)}, f"r{i}")["version"] for i in (1, 2)}
+    assert plane.post(first, {"engine/e3": engine(3)}, "r3") == (0, {})  # decided, and then nothing
+    first.process.wait(WAIT)
+    assert first.process.returncode == -signal.SIGKILL
+    told = plane.change({"engine/e3": engine(3)}, "r3")
+    assert told["primary"] != first.name and told["epoch"] < plane.primary(first.name).status()["epoch"]
+    first.start()
+    plane.one_history(told["version"])
+    assert plane.requests("r3") == 1 and plane.in_force("engine/e3") == told["version"]
+    assert plane.change({"engine/e3": engine(3)}, "r3")["version"] == told["version"]
+
+    # All of them, at once
+    before = plane.position(first), first.ask("state")[1]["entries"]
+    plane.wait(lambda: follower.version == before[0][0], "the follower")
+    held = follower.state.digest
+    for server in plane.servers.values():
+        server.kill()
+    plane.wait(lambda: not follower.server(), "a follower that is alone")
+    assert follower.version == before[0][0] and follower.state.digest == held
+    for server in plane.servers.values():
+        server.start()
+    plane.primary()
+    version = plane.one_history(before[0][0] + 1)
+    entries = first.ask("state")[1]["entries"]
+    assert entries == before[1] and {k: entries[k]["version"] for k in done} == done
+    plane.wait(lambda: follower.version == version, "a follower that goes on")
+    told = plane.change({"engine/e3": engine(3)}, "r3")
+    assert told["version"] == plane.in_force("engine/e3") < version  # known still
+    assert follower.never_back()
+
+
+def strike(plane, primary, least=0):
+    """Ask for changes until the primary's fault strikes: (keys acknowledged and their versions, the request
+    that was under way)."""
+    done = {}
+    for number in range(1, 30):
+        key, request = f"engine/e{number}", f"r{number}"
+        asked = gevent.spawn(plane.post, primary, {key: engine(number)}, request)
+        until(lambda a=asked: primary.halted() or not primary.running() or a.ready(), WAIT)
+        if primary.halted() or not primary.running():
+            return done, key, request
+        status, told = asked.get(timeout=WAIT)
+        assert status == 200, told
+        done[key] = told["version"]
+    raise AssertionError("no fault has struck")
+
+
+@pytest.mark.parametrize("plane", [{"fault": "kill-before:append:13"}, {"fault": "stop-before:append:13"}],
+                         indirect=True, ids=["killed", "stopped"])
+def test_primary_killed_or_stopped_between_its_own_disk_and_the_next(plane):
+    primary = settled(plane)
+    other, away = plane.others(primary.name)
+    away.kill()  # so that every change has one way to go
+    plane.wait(lambda: primary.status()["peers"] == [other.name], "a link that has ended")
+    done, key, request = strike(plane, primary)
+    stopped = primary.halted()
+    assert len(done) > 2 and stopped == primary.running()
+    away.start()
+    plane.primary(primary.name)
+    later = plane.change({"engine/late": engine(99)}, "late")
+    assert request not in {c[2] for c in plane.changes(other)}  # nobody else had it
+    if stopped:
+        ended = len(primary.told("primary_ended"))
+        primary.signal(signal.SIGCONT)
+        plane.wait(lambda: len(primary.told("primary_ended")) > ended, "a primary that steps down")
+        # Its Append left after it went on: both turn it down.
+        plane.wait(lambda: primary.status()["traffic"].get("in.denied", {}).get("frames", 0) >= 1, "a denial")
+    else:
+        kept = primary.kept()
+        assert kept[1] > max(done.values()) and kept[0] < later["epoch"]
+        primary.start()
+    plane.wait(lambda: primary.told("truncated"), "a tail that is dropped")
+    plane.one_history(later["version"])
+    assert primary.status()["role"] == "standby"
+    assert {k: plane.in_force(k) for k in done} == done and plane.in_force(key) == -1
+    again = plane.change({key: engine(50)}, request)
+    plane.one_history(again["version"])
+    assert plane.requests(request) == 1 and plane.in_force(key) == again["version"]
+
+
+# Disks
+
+
+def test_full_disk_and_a_file_that_is_cut_off(plane):
+    primary = settled(plane)
+    follower = plane.follow("b1", "z1")
+    keys = [f"engine/e{i}" for i in range(1, 6)]
+    done = {key: plane.change({key: engine(i)}, key)["version"] for i, key in enumerate(keys)}
+    size = (primary.store / "history.sqlite-wal").stat().st_size
+    assert size > 4 * primary.log_file.stat().st_size  # the limit counts for its log too
+    soft, hard = resource.prlimit(primary.process.pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(primary.process.pid, resource.RLIMIT_FSIZE, (size, hard))
+    status, told = plane.post(primary, {"engine/full": engine(60)}, "full")
+    assert (status, told["answer"]) == (503, "unknown")
+    assert primary.told("disk_error") and primary.told("primary_ended")
+    plane.primary(primary.name)
+    told = plane.change({"engine/full": engine(60)}, "full")
+    assert told["primary"] != primary.name
+    plane.wait(lambda: follower.version >= told["version"], "others that go on")
+    assert primary.running() and plane.position(primary)[0] < told["version"]
+    resource.prlimit(primary.process.pid, resource.RLIMIT_FSIZE, (soft, hard))
+    plane.one_history(told["version"])
+    assert plane.requests("full") == 1 and {k: plane.in_force(k) for k in done} == done
+
+    # Cut off in the middle of its last page
+    damaged = plane.others(plane.primary().name)[0]
+    assert damaged.leave() == 0
+    file = damaged.store / "history.sqlite"
+    os.truncate(file, file.stat().st_size - 2048)
+    before = len(damaged.words().splitlines())
+    damaged.start()
+    assert damaged.process.wait(WAIT) == 2
+    words = damaged.words().splitlines()[before:]
+    assert len(words) == 1 and "damaged" in words[0] and "--rejoin" in words[0], words
+    told = plane.change({"engine/e9": engine(9)}, "r9")
+    for left in damaged.store.iterdir():
+        left.rename(damaged.folder / f"moved-{left.name}")
+    before = len(damaged.words().splitlines())
+    damaged.start()  # an empty one is none either
+    assert damaged.process.wait(WAIT) == 2
+    words = damaged.words().splitlines()[before:]
+    assert len(words) == 1 and "--rejoin" in words[0], words
+    damaged.start("--rejoin")
+    plane.wait(lambda: damaged.told("joined"), "a voter that has joined")
+    plane.one_history(told["version"])
+    assert damaged.status()["joining"] is False and follower.never_back()
+
+
+# Followers that cost
+
+
+def many(count, salt):
+    """Engines that take some bytes, and do not pack well."""
+    draw = random.Random(salt)
+    return {f"engine/x{i}": {"address": f"127.{salt}.{i // 250}.{i % 250 + 1}:7002",
+                             "kind": f"{draw.getrandbits(256):064x}"} for i in range(count)}
+
+
+def test_followers_that_do_not_read_read_slowly_or_talk_nonsense(plane):
+    primary = settled(plane)
+    for salt in (1, 2):
+        plane.change({f"{k}-{salt}": v for k, v in many(1500, salt).items()}, f"many{salt}")
+    good = plane.follow("good", only=(primary.name,))
+    plane.wait(lambda: good.version == primary.status()["version"], "the good one")
+    memory = primary.memory()
+    deaf = [Raw(primary.port, small=True).hello(f"deaf{i}") for i in range(4)]
+    slow = [Raw(primary.port, small=True).hello(f"slow{i}") for i in range(2)]
+    draw = random.Random(5)
+    mad = [Raw(primary.port) for _ in range(5)]
+    for raw, words in zip(mad, [b"\xff" * 8, b"\0\0\0\0", draw.randbytes(9000), b"GET / HTTP/1.1\r\n\r\n",
+                                b"\0\0\0\4\xc1\xc1\xc1\xc1"], strict=True):
+        raw.sock.sendall(words)
+    late = Raw(primary.port).hello("late")
+    late.sock.sendall(b"\0\0\1\0" + draw.randbytes(256))
+    mute = Raw(primary.port)  # never says Hello
+    readers = [gevent.spawn(raw.drip) for raw in slow]
+    ends = [gevent.spawn(raw.drip, 65_536, 0) for raw in (*mad, late, mute)]
+    new = plane.follow("new", only=(primary.name,))
+    plane.wait(lambda: new.version, "one that comes while snapshots are out to those")
+    most, longest, number = memory, time.monotonic() - new.dials[0], 0
+    until_all = time.monotonic() + Limits().answer_s + 6
+    while primary.status()["brokers"] > 2 and time.monotonic() < until_all:
+        number += 1
+        began = time.monotonic()
+        told = plane.change({f"engine/y{number % 7}": engine(200 + number)}, f"y{number}")
+        plane.wait(lambda v=told["version"]: good.version >= v, "the good one, meanwhile")
+        longest = max(longest, time.monotonic() - began)
+        most = max(most, primary.memory())
+    took = time.monotonic() - deaf[0].began
+    print(f"all ended after {took:.1f} s, {number} changes, the slowest in force after {longest:.2f} s, "
+          f"{(most - memory) / MB:.1f} MB more")
+    assert primary.status()["brokers"] == 2 and number > 5
+    assert most - memory < 24 * MB and longest < 5
+    gevent.joinall(ends, WAIT)
+    assert all(raw.ended and raw.ended - raw.began < 4 for raw in (*mad, late))
+    assert mute.ended - mute.began < 8
+    counters = primary.status()["counters"]
+    assert counters["control.ended_silent"] == 6 and good.never_back() and new.never_back()
+    for raw in (*deaf, *slow, *mad, late, mute):
+        raw.close()
+    gevent.killall(readers)
+
+
+# A control process that lies
+
+
+class Liar:
+    """A stand-in control process: a right snapshot, then a change whose digest is another's; a right snapshot
+    again when asked. Keeps what it hears."""
+
+    def __init__(self):
+        self.heard, self.held = [], FleetState("liar-1")
+        self.held.apply(self.held.draft(5, [Op("engine/e1", canonical({"address": "127.0.0.1:7001"}))]))
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+
+    def serve(self, sock, _):
+        frames = Frames(sock, Traffic())
+        try:
+            self.heard.append(frames.receive(WAIT))
+            frames.send(Welcome("c1", 1, "liar-1"))
+            frames.send(Whole(pack(self.held.snapshot())))
+            self.heard.append(frames.receive(WAIT))
+            right = self.held.draft(5, [Op("engine/e1", canonical({"address": "127.0.0.1:7002"}))])
+            wrong = self.held.draft(5, [Op("engine/e1", canonical({"address": "127.0.0.1:7003"}))])
+            self.held.apply(right)
+            # The value of one, the digest of the other.
+            frames.send(Deltas([type(right)(5, 2, wrong.ops, right.digest)]))
+            self.heard.append(frames.receive(WAIT))
+            frames.send(Whole(pack(self.held.snapshot())))
+            self.heard.append(frames.receive(WAIT))
+            while True:
+                frames.receive(WAIT)
+        except Ended:
+            pass
+        finally:
+            frames.close()
+
+
+def test_a_change_whose_digest_differs_is_not_taken(tmp_path):
+    liar = Liar()
+    places = [f"127.0.0.1:{liar.server.server_port}", *(f"127.0.0.1:{free_port()}" for _ in range(2))]
+    broker = ControlledBroker("n1", tmp_path, {"servers": [
+        {"name": f"c{i}", "address": place, "fleet": f"127.0.0.1:{free_port()}", "zone": f"z{i}",
+         "management": f"127.0.0.1:{free_port()}"} for i, place in enumerate(places, 1)]})
+    broker.start()
+    try:
+        assert until(lambda: len(liar.heard) == 4, WAIT), broker.words()
+        hello, first, asked, last = liar.heard
+        assert isinstance(hello, Hello) and isinstance(first, Have) and isinstance(last, Have)
+        assert isinstance(asked, WholeWanted) and asked.why == "digest", asked
+        assert (last.version, last.digest) == (2, liar.held.digest)
+        told = broker.show("/control/status")
+        assert told["counts"]["delta_differs"] == 1 and told["digest"] == liar.held.digest.hex()
+        assert [e["version"] for e in broker.events() if e["event"] == "control_delta_differs"] == [2]
+    finally:
+        broker.kill()
+        liar.server.stop()
+
+
+# Many at once
+
+
+def test_a_hundred_followers_whose_control_process_dies(plane):
+    primary = settled(plane)
+    plane.change(many(1000, 3), "many")
+    began = time.monotonic()
+    agents = [plane.follow(f"b{i}", seed=1000 + i) for i in range(100)]
+    plane.wait(lambda: all(a.server() and a.version for a in agents), "all have it in force")
+    counts = Counter(a.server() for a in agents)
+    dead = plane[max((n for n in counts if n != primary.name), key=counts.get)]
+    held = [a for a in agents if a.server() == dead.name]
+    dials = {a: len(a.dials) for a in held}
+    at = time.monotonic()
+    dead.kill()
+    version = plane.change({"engine/e1": engine(1)}, "r1")["version"]
+    plane.wait(lambda: all(a.version >= version for a in agents), "all in force again")
+    took = time.monotonic() - at
+    again = sorted(a.dials[dials[a]] - at for a in held)
+    wholes = {}
+    for agent in agents:
+        for moment, server, _, _, whole in agent.taken:
+            if whole:
+                wholes.setdefault(server, []).append(moment)
+    limits = Limits()
+    densest = max(sum(m <= n < m + 1 for n in moments) for moments in wholes.values() for m in moments)
+    print(f"{dict(counts)}; {len(held)} lost, dialled again {again[0]:.3f} to {again[-1]:.3f} s after; all in"
+          f" force {took:.2f} s after, {at - began:.2f} s to begin; {densest} snapshots a second at most")
+    assert len(held) > 15 and again[-1] - again[0] > 0.05  # full jitter over 0.1 s at least
+    assert densest <= limits.wholes_per_s + limits.wholes_at_once  # begun in the second, and out before it
+    assert took < 15 and all(a.never_back() for a in agents)
+    told = plane.primary().ask("lag")[1]
+    assert told["connected"] >= 100 or plane.wait(
+        lambda: plane.primary().ask("lag")[1].get("in_force") == 100, "all counted")
+
+
+# Operators, and brokers that move
+
+
+def run(*args):
+    """A command of the program: exit code, output, errors."""
+    done = subprocess.run([sys.executable, "-m", "cypressledge", *args], cwd=ROOT, stdout=subprocess.PIPE,
+                          stderr=subprocess.PIPE, timeout=60)
+    return done.returncode, done.stdout.decode(), done.stderr.decode()
+
+
+def test_operators_at_once_and_bad_changes(plane):
+    primary = settled(plane)
+    base = primary.status()["version"]
+    both = [gevent.spawn(plane.post, primary, {"engine/e1": engine(i), f"engine/o{i}": engine(10 + i)},
+                         f"two{i}", base=base) for i in (1, 2)]
+    gevent.joinall(both, WAIT)
+    answers = sorted((a.value for a in both), key=lambda a: a[0])
+    assert [status for status, _ in answers] == [200, 409], answers
+    assert answers[1][1]["answer"] == "clash" and answers[1][1]["keys"] == ["engine/e1"]
+    version = plane.one_history(answers[0][1]["version"])
+    before = plane.position(primary)
+    bad = [{"engine/e2": engine(1) | {"cell": -1}}, {"engine/e2": SEED["engines"]["e0"]},
+           {"nothing/e2": {}}, {"config/Rules": {"Fall": 1}}]
+    for number, sets in enumerate(bad):
+        status, told = plane.post(primary, sets, f"bad{number}")
+        assert (status, told["answer"]) == (400, "bad") and "\n" not in told["why"] and told["why"], told
+    assert plane.position(primary) == before and plane.one_history() == version
+
+    file = plane.folder / "change.yaml"
+    file.write_text(yaml.safe_dump({"engines": {"e2": SEED["engines"]["e0"]}}))
+    at = [x for s in plane.servers.values() for x in ("--at", f"127.0.0.1:{s.management}")]
+    code, out, err = run("control", "change", str(file), *at)
+    assert (code, out, err.count("\n")) == (2, "", 1) and "engine/e0" in err, (code, out, err)
+    file.write_text(yaml.safe_dump({"engines": {"e2": engine(30)}}))
+    codes = [run("control", "change", str(file), *at, "--request", "cli", "--why", "twice") for _ in range(2)]
+    assert [code for code, _, _ in codes] == [0, 0] and codes[0][1] == codes[1][1], codes
+    assert plane.requests("cli") == 1 and plane.one_history() == version + 1
+
+
+def test_broker_replaced_at_a_new_address(plane, tmp_path):
+    ports = udp_ports(["n1", "n2", "n3", "new"])
+    fleet = {"peers": [{"name": n, "address": f"127.0.0.1:{ports[n]}"} for n in ("n1", "n2", "n3")],
+             "voters": [{"version": 1, "names": ["n1", "n2", "n3"]}], "term_s": 1.0, "ping_s": 0.2, "grace_s": 1.0}
+    moved = fleet | {"peers": [fleet["peers"][0], {"name": "n2", "address": f"127.0.0.1:{ports['new']}"},
+                               fleet["peers"][2]]}
+    control = plane.settings()
+    brokers = {n: ControlledBroker(n, tmp_path, control, fleet) for n in ("n1", "n2")}
+    plane.processes += brokers.values()
+    for broker in brokers.values():
+        broker.start(fleet=True)
+
+    def place(name):
+        entry = plane.primary().ask(f"state?prefix=broker/{name}")[1]["entries"].get(f"broker/{name}")
+        return entry and entry["value"]["address"]
+
+    plane.wait(lambda: place("n1") and place("n2") == f"127.0.0.1:{ports['n2']}", "both are registered")
+    brokers["n2"].kill()
+    brokers["n2"].fleet = moved  # its own file alone: n1's goes on naming the old address
+    brokers["n2"].start(fleet=True)
+    plane.wait(lambda: place("n2") == f"127.0.0.1:{ports['new']}", "the new address")
+
+    def heard():
+        rows = brokers["n2"].show("/fleet/peers") or []
+        return any(r["name"] == "n1" and r["state"] == "alive" and r["heard_s"] is not None for r in rows)
+
+    # n2 hears n1 only if n1 sends to where n2 is now.
+    plane.wait(heard, f"n1, heard by the new n2\n{brokers['n1'].words()[-2000:]}")
+    assert brokers["n1"].show("/control/status")["version"] == plane.one_history()
+
+
+# Cut off, put back
+
+
+@with_plane(relays=True)
+def test_region_cut_off_during_a_change_and_a_disk_that_was_put_back(plane):
+    primary = settled(plane)
+    plane.change({"engine/e1": engine(1)}, "r1")
+    inside = plane.follow("inside", only=(primary.name,))
+    outside = plane.follow("outside", only=tuple(s.name for s in plane.others(primary.name)))
+    plane.wait(lambda: inside.version == outside.version == primary.status()["version"], "followers")
+    plane.cut(primary.name)
+    asked = gevent.spawn(plane.post, primary, {"engine/e2": engine(2)}, "r2")
+    second = plane.primary(primary.name)
+    told = plane.change({"engine/e3": engine(3)}, "r3")
+    plane.wait(lambda: outside.version >= told["version"], "the majority's side goes on")
+    status, answer = asked.get(timeout=WAIT)
+    assert (status, answer["answer"]) == (503, "unknown"), answer
+    shown = primary.status()
+    assert shown["role"] != "primary" and shown["primary"] == "" and shown["version"] < told["version"]
+    assert plane.post(primary, {"engine/e4": engine(4)}, "r4")[0] == 421
+    plane.wait(lambda: inside.status()["stale_ms"] > 2000 * TERM, "a follower that knows it is stale")
+    assert inside.server() == primary.name and inside.version == shown["version"]
+    plane.heal()
+    plane.one_history(told["version"])
+    assert plane.requests("r2") == plane.requests("r4") == 0
+    again = plane.change({"engine/e2": engine(2)}, "r2")
+    plane.wait(lambda: inside.version >= again["version"] <= outside.version, "all go on")
+    assert plane.requests("r2") == 1 and inside.status()["stale_ms"] < 3000 * TERM
+
+    # An old copy of a disk, put back
+    old = next(s for s in plane.others(plane.primary().name))
+    after = plane.follow("after", only=(old.name,))
+    old.kill()
+    shutil.copytree(old.store, plane.folder / "copy")
+    old.start()
+    for number in range(5, 9):
+        told = plane.change({f"engine/e{number}": engine(number)}, f"r{number}")
+    plane.wait(lambda: after.version >= told["version"], "a follower of the one to be put back")
+    held = after.version
+    old.kill()
+    shutil.rmtree(old.store)
+    shutil.copytree(plane.folder / "copy", old.store)
+    plane.cut(old.name)  # it has its old copy alone, and its follower nobody else
+    old.start()
+    plane.wait(lambda: after.server() and old.status().get("brokers"), "an old one that is followed")
+    assert old.status()["version"] < held
+    beats = after.traffic.frames["in.beat"]
+    plane.wait(lambda: after.traffic.frames["in.beat"] > beats + 2, "some beats of the old one")
+    assert after.version == held and after.follower.counters.show().get("turned_down", 0) == 0
+    assert old.status()["role"] == "standby"
+    plane.heal()
+    told = plane.change({"engine/e9": engine(9)}, "r9")
+    plane.wait(lambda: after.version >= told["version"], "a follower that goes on")
+    plane.one_history(told["version"])
+    assert second.running() and all(a.never_back() for a in plane.agents)
