Scale run: a checker of what brokers and control processes wrote down

Need: the control plane's scale run has to be judged by something that shares no code with it. Change: lab/capacity_check.py reads the JSON lines; lost, gone back, wrong, times in quiet and by fault.

--- /dev/null
+++ b/cypressledge/lab/capacity_check.py
@@ -0,0 +1,290 @@
+"""Judges a scale run of the control plane by what its processes wrote down. No I/O but reading JSON lines.
+
+Shares nothing with the mechanism: it knows moments (µs of CLOCK_BOOTTIME), names, versions and digests. A
+broker's life is from its `start` to when the harness ended it; while the harness kept it from the control
+plane (`Span`) no change is due at it, and what came meanwhile is due from the end of that span.
+"""
+
+import json
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+IN_FORCE_S = 12.0  # limits: s from the acknowledgement, in quiet times
+PRIMARY_S = 8.0  # s without a primary
+CPU_PCT, NET_KB_S, RSS_MB = 3.2, 30.0, 256.0  # of one broker
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """From and to, µs; what it was, and of whom (empty: of nobody in particular)."""
+
+    begin: int
+    end: int
+    kind: str
+    who: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Acked:
+    """A change that the harness had acknowledged. `at`: when the answer was there, µs."""
+
+    at: int
+    version: int
+    request: str
+    digest: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """A primary that the harness took away at `at`, µs. `who` empty: all control processes."""
+
+    at: int
+    who: str
+    kind: str
+
+
+@dataclass(slots=True)
+class Seen:
+    """What the harness itself did and was told. `down`: spans in which a broker can't be reached, `faults`:
+    spans that are not quiet, `ends`: by (broker, run) the moment it was killed, `over`: the end, µs."""
+
+    acked: list[Acked]
+    down: list[Span]
+    faults: list[Span]
+    losses: list[Loss]
+    ends: dict[tuple[str, int], int]
+    over: int
+    wrongs: list[str] = field(default_factory=list)  # answers that must not be, as the harness saw them
+    gone: frozenset[str] = frozenset()  # brokers that are not to be there at the end
+    expected: frozenset[str] = frozenset()  # those that are: one that never wrote a line is lost
+
+
+@dataclass(slots=True)
+class Life:
+    """One run of one broker: when it was there and what it had in force, in order of time."""
+
+    broker: str
+    run: int
+    begin: int
+    end: int
+    ended: bool = False
+    held: list[tuple[int, int, int, str]] = field(default_factory=list)  # at, epoch, version, digest
+
+
+@dataclass(slots=True)
+class Verdict:
+    """Of one run. Times in s. `by_fault`: times of changes that met a fault, by its kind."""
+
+    changes: int = 0
+    quiet: list[float] = field(default_factory=list)
+    all: list[float] = field(default_factory=list)
+    by_fault: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    primary_over: list[tuple[float, str]] = field(default_factory=list)
+    lost: list[str] = field(default_factory=list)
+    gone_back: list[str] = field(default_factory=list)
+    wrong: list[str] = field(default_factory=list)
+    lives: int = 0
+
+    @property
+    def broken(self) -> bool:
+        """Whether anything happened that must not."""
+        return bool(self.lost or self.gone_back or self.wrong)
+
+
+def read_records(paths: Iterable[Path]) -> list[dict]:
+    """All whole lines of the files; the last line of a killed process may be cut short. Raises `ValueError`
+    for any other line that can't be read."""
+    found = []
+    for path in paths:
+        lines = path.read_text(encoding="utf-8").split("\n")
+        for number, line in enumerate(lines):
+            try:
+                if line:
+                    found.append(json.loads(line))
+            except ValueError:
+                # A restarted process goes on in the same file: its first line may follow half a one.
+                if number + 1 < len(lines) and "}" in line and "{" in line[1:]:
+                    found.append(json.loads(line[line.rindex("{"):]))
+                elif number + 1 < len(lines):
+                    raise ValueError(f"{path}:{number + 1}: {line[:120]}") from None
+    return found
+
+
+def quantile(times: list[float], part: float) -> float:
+    """The value under which this part of them lies; 0 of none."""
+    ordered = sorted(times)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * part))] if ordered else 0.0
+
+
+def check(brokers: list[dict], controls: list[dict], seen: Seen) -> Verdict:
+    """Judge a run by the brokers' records, the control processes' and the harness's own."""
+    verdict = Verdict(changes=len({a.version for a in seen.acked}))
+    verdict.wrong += seen.wrongs
+    truth = _truth(controls, verdict)
+    _acked(seen.acked, controls, truth, verdict)
+    lives = _lives(brokers, seen)
+    verdict.lives = len(lives)
+    for life in lives:
+        _order(life, verdict)
+        _digests(life, truth, verdict)
+        _in_force(life, seen, verdict)
+    _missing(lives, seen, verdict)
+    _primaries(controls, seen, verdict)
+    return verdict
+
+
+def _truth(controls: list[dict], verdict: Verdict) -> dict[int, str]:
+    """The digest of each version, as committed; two that differ are a fault."""
+    truth: dict[int, str] = {}
+    for record in controls:
+        if record["event"] in ("committed", "acknowledged"):
+            version, digest = record["version"], record["digest"]
+            if truth.setdefault(version, digest) != digest:
+                verdict.wrong.append(f"{record['who']} has version {version} as {digest}, another as "
+                                     f"{truth[version]}")
+    return truth
+
+
+def _acked(acked: list[Acked], controls: list[dict], truth: dict[int, str], verdict: Verdict) -> None:
+    """An acknowledged change stands in the history at its version, under its own name, and once."""
+    names: dict[int, str] = {}
+    for record in controls:
+        if record["event"] in ("committed", "acknowledged") and record.get("request"):
+            names.setdefault(record["version"], record["request"])
+    versions: dict[str, int] = {}
+    for change in acked:
+        if versions.setdefault(change.request, change.version) != change.version:
+            verdict.wrong.append(f"request {change.request} became versions {versions[change.request]} and "
+                                 f"{change.version}")
+        if change.version not in truth:
+            verdict.lost.append(f"version {change.version} was acknowledged, and is in no one's history")
+        elif names.get(change.version, change.request) != change.request:
+            verdict.lost.append(f"version {change.version} was acknowledged for {change.request}, and is "
+                                f"{names[change.version]}")
+        elif change.digest and change.digest != truth[change.version]:
+            verdict.wrong.append(f"version {change.version} was acknowledged as {change.digest}, and is "
+                                 f"{truth[change.version]}")
+
+
+def _lives(records: list[dict], seen: Seen) -> list[Life]:
+    lives: dict[tuple[str, int], Life] = {}
+    for record in sorted(records, key=lambda r: r["at"]):
+        key = (record["broker"], record["run"])
+        if key not in lives:
+            end = seen.ends.get(key)
+            lives[key] = Life(*key, record["at"], seen.over if end is None else end, end is not None)
+        life = lives[key]
+        if record["event"] == "in_force":
+            life.held.append((record["at"], record["epoch"], record["version"], record["digest"]))
+    return list(lives.values())
+
+
+def _order(life: Life, verdict: Verdict) -> None:
+    last = (0, 0)
+    for at, epoch, version, _ in life.held:
+        if version < last[1] or epoch < last[0]:
+            verdict.gone_back.append(f"{life.broker} (run {life.run:x}) went from {last} to "
+                                     f"{(epoch, version)} at {at}")
+        last = (epoch, version)
+
+
+def _digests(life: Life, truth: dict[int, str], verdict: Verdict) -> None:
+    for at, _, version, digest in life.held:
+        if version and truth.get(version, "") != digest:
+            verdict.wrong.append(f"{life.broker} had version {version} as {digest} at {at}, committed is "
+                                 f"{truth.get(version, 'no such version')}")
+
+
+def _in_force(life: Life, seen: Seen, verdict: Verdict) -> None:
+    """How long each change took to this life of a broker. Of changes that are due from one moment (a start, a
+    heal) the newest counts, once: it takes the others along."""
+    down = sorted((s for s in seen.down if s.who == life.broker), key=lambda s: s.begin)
+    moments, reached, top = [], [], 0
+    for at, _, version, _ in life.held:
+        if version > top:
+            moments.append(at)
+            reached.append(version)
+            top = version
+    due: dict[int, Acked] = {}
+    for change in seen.acked:
+        if change.at < life.end:
+            base = _due(max(change.at, life.begin), down)
+            if base not in due or due[base].version < change.version:
+                due[base] = change
+    for base, change in due.items():
+        index = bisect_right(reached, change.version - 1)
+        got = moments[index] if index < len(moments) and moments[index] <= life.end else None
+        _pair(life, change, base, got, down, seen, verdict)
+
+
+def _due(moment: int, down: list[Span]) -> int:
+    for span in down:
+        if span.begin <= moment < span.end:
+            moment = span.end
+    return moment
+
+
+def _pair(life: Life, change: Acked, base: int, got: int | None, down: list[Span], seen: Seen,
+          verdict: Verdict) -> None:
+    until = life.end if got is None else got
+    for span in down:  # cut off before it had it: due again from the heal on
+        if base < span.begin < until:
+            base = max(base, span.end)
+    if base > life.end:
+        return
+    if got is None and not life.ended:
+        verdict.lost.append(f"{life.broker} (run {life.run:x}) never had version {change.version}, due "
+                            f"{(seen.over - base) / 1e6:.1f} s before the end")
+    if got is None and life.end - base < IN_FORCE_S * 1e6:
+        return  # it was killed before it could have it; or is lost, as said above
+    took = max(0, until - base) / 1e6
+    verdict.all.append(took)
+    kinds = {s.kind for s in seen.faults if s.begin <= until and base <= s.end}
+    for kind in kinds:
+        verdict.by_fault[kind].append(took)
+    if not kinds:
+        verdict.quiet.append(took)
+
+
+def _missing(lives: list[Life], seen: Seen, verdict: Verdict) -> None:
+    there = {life.broker for life in lives if not life.ended}
+    for name in sorted(seen.expected - seen.gone - there):
+        verdict.lost.append(f"{name} is to be there at the end, and wrote nothing")
+
+
+def _primaries(controls: list[dict], seen: Seen, verdict: Verdict) -> None:
+    """From each loss to the first sign of another primary: its own record or what it acknowledged."""
+    signs = sorted((r["at"], r["who"]) for r in controls if r["event"] in ("primary", "acknowledged"))
+    for loss in seen.losses:
+        after = next((at for at, who in signs if at > loss.at and who != loss.who), seen.over)
+        verdict.primary_over.append(((after - loss.at) / 1e6, loss.kind))
+
+
+def too_little(verdict: Verdict, seen: Seen, brokers: int, seconds: float) -> list[str]:
+    """Why the run says nothing, if it does not."""
+    found = []
+    if verdict.changes < max(5, seconds / 6):
+        found.append(f"only {verdict.changes} changes acknowledged")
+    if len(verdict.quiet) < brokers:
+        found.append(f"only {len(verdict.quiet)} times of a change at a broker in quiet times")
+    if not seen.losses:
+        found.append("no primary was lost")
+    if verdict.lives <= brokers:
+        found.append("no broker came back")
+    kinds = {span.kind for span in seen.faults}
+    if len(kinds) < min(3, max(1, int(seconds / 8))):
+        found.append(f"faults of {len(kinds)} kinds only")
+    return found
+
+
+def passed_limits(verdict: Verdict, cpu_pct: float, net_kb_s: float, rss_mb: float) -> list[str]:
+    """Which limits the run passed, by name."""
+    most = max(verdict.quiet, default=0.0)
+    primary = max((s for s, _ in verdict.primary_over), default=0.0)
+    rows = (("in force, quiet, s", most, IN_FORCE_S), ("primary over, s", primary, PRIMARY_S),
+            ("broker cpu, %", cpu_pct, CPU_PCT), ("broker net, KB/s", net_kb_s, NET_KB_S),
+            ("broker rss, MB", rss_mb, RSS_MB))
+    return [f"{name} {value:.2f} over {limit:g}" for name, value, limit in rows if value > limit]
