--- /dev/null
+++ b/cypressledge/lab/capacity_day.py
@@ -0,0 +1,73 @@
+"""A compressed day for the scale run, drawn from a seed: what is changed and what breaks when. No I/O.
+
+Faults come one after the other with quiet between them; changes go on all the time. The last part of the day
+is quiet, so that whatever is missing at its end is lost and not late.
+"""
+
+import random
+from dataclasses import dataclass
+
+FAULTS = ("a primary killed", "brokers killed", "regions cut", "a primary stopped", "a zone gone",
+          "brokers replaced", "all control processes restarted")
+CHANGES = (("settings", 10), ("engine drains", 3), ("engine goes", 2), ("engine comes", 3), ("repeat", 3),
+           ("clash", 2), ("bad", 2))
+ZONES = ("za", "zb", "zc")
+REGION = {"za": "east", "zb": "east", "zc": "west"}
+LEAD_S = 3.0  # quiet before the first fault
+REST_S = 4.0  # and after one, at the least: part of it is the mending's
+TAIL_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One thing to do at `at` seconds of the day, for `span` seconds. `pick`: 0 to 1, decides which. """
+
+    at: float
+    kind: str
+    span: float = 0.0
+    pick: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Day:
+    """What a run plays."""
+
+    seconds: float
+    faults: list[Event]
+    changes: list[Event]
+
+
+def span_of(kind: str, term_s: float, rng: random.Random) -> float:
+    """Seconds that a fault lasts. A stop outlasts the lease's term; the others may or may not."""
+    low, high = {"a primary killed": (0.8, 2.0), "brokers killed": (0.2, 1.2), "regions cut": (1.4, 2.4),
+                 "a primary stopped": (1.3, 2.0), "a zone gone": (1.2, 2.2), "brokers replaced": (0.2, 0.8),
+                 "all control processes restarted": (0.1, 0.3)}[kind]
+    return rng.uniform(low, high) * term_s
+
+
+def draw(seed: int, seconds: float, term_s: float, every_s: float) -> Day:
+    """A day of so many seconds; a change every `every_s` seconds on average. Each kind of fault comes once before
+    one comes again; the first ones of a short day take a primary away, kill brokers and cut regions."""
+    rng = random.Random(seed)
+    faults: list[Event] = []
+    at, rounds = LEAD_S, 0
+    while True:
+        deck = list(FAULTS)
+        if rounds:  # the first round is in order, so that the shortest day has what it has to have
+            rng.shuffle(deck)
+        rounds += 1
+        for kind in deck:
+            span = span_of(kind, term_s, rng)
+            if at + span + TAIL_S > seconds:
+                return Day(seconds, faults, changes_of(rng, seconds, every_s))
+            faults.append(Event(at, kind, span, rng.random()))
+            at += span + REST_S + rng.uniform(0.5, 1.5) * term_s
+
+
+def changes_of(rng: random.Random, seconds: float, every_s: float) -> list[Event]:
+    """Changes at random moments; the last ones come in the quiet tail, with time left to be in force."""
+    found, at = [], 0.0
+    kinds, weights = zip(*CHANGES, strict=True)
+    while (at := at + rng.expovariate(1 / every_s)) < seconds - TAIL_S / 2:
+        found.append(Event(at, rng.choices(kinds, weights)[0], 0.0, rng.random()))
+    return found
--- a/cypressledge/lab/relay.py
+++ b/cypressledge/lab/relay.py
@@ -1,10 +1,14 @@
-"""Relays for datagrams between processes, which drop, delay, copy and reorder them. Loopback sockets only."""
+"""Relays between processes: for datagrams, which drop, delay, copy and reorder them, and for connections,
+which can be cut. Loopback sockets only."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
 from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
 
 from cypressledge.lab.site import free_port
 
@@ -22,9 +26,11 @@
 class Relays:
     """A relay for each ordered pair: what `a` sends to `address(a, b)` reaches `b`, if its path lets it."""
 
-    def __init__(self, ports: dict[str, int], seed: int) -> None:
+    def __init__(self, ports: dict[str, int], seed: int,
+                 between: Callable[[str, str], bool] = lambda a, b: True) -> None:
+        """`between`: which pairs have a relay; all, where nothing is said."""
         self.ports, self.random = ports, random.Random(seed)
-        self.paths = {(a, b): Path() for a in ports for b in ports if a != b}
+        self.paths = {(a, b): Path() for a in ports for b in ports if a != b and between(a, b)}
         self.socks: dict[tuple[str, str], socket.socket] = {}
         self.parts = []
         self.passed = self.dropped = self.copied = self.delayed = 0
@@ -88,3 +94,89 @@
         if port not in ports.values():
             ports[names[len(ports)]] = port
     return ports
+
+
+class TcpRelay:
+    """One address on the loopback whose connections go on to `target`, unless it is cut. `how` of a cut:
+    silent (bytes stand still, as over a path that drops everything) or reset (connections end)."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.target, self.is_cut, self.how = target, False, "silent"
+        self.whole = Event()
+        self.whole.set()
+        self.pairs: set[tuple] = set()
+        self.stale: set[tuple] = set()  # open when it was cut: they don't come to life again
+        self.bytes = 0
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    @property
+    def address(self) -> str:
+        """Where to connect to, HOST:PORT."""
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def cut(self, how: str) -> None:
+        """From now on nothing passes."""
+        self.is_cut, self.how = True, how
+        self.whole.clear()
+        if how == "reset":
+            self._end(set(self.pairs))
+        else:
+            self.stale = set(self.pairs)
+
+    def heal(self) -> None:
+        """New connections pass again; those that stood still end."""
+        self.is_cut = False
+        stale, self.stale = self.stale, set()
+        self._end(stale)
+        self.whole.set()
+
+    def _serve(self, near, _) -> None:
+        if self.is_cut and self.how == "reset":
+            return
+        self.whole.wait()  # silent: taken by the system, and nothing comes of it until the heal
+        try:
+            far = socket.create_connection(self.target, 2.0)
+        except OSError:
+            return
+        far.settimeout(None)
+        for sock in (near, far):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        pair = (near, far)
+        self.pairs.add(pair)
+        back = gevent.spawn(self._pump, far, near)
+        try:
+            self._pump(near, far)
+            back.join()
+        finally:
+            self.pairs.discard(pair)
+            self.stale.discard(pair)
+            far.close()
+
+    def _pump(self, source, to) -> None:
+        try:
+            while data := source.recv(65_536):
+                self.whole.wait()
+                self.bytes += len(data)
+                to.sendall(data)
+            to.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._shut(source, to)  # guards against a half that waits for ever for a peer that was reset
+
+    def _end(self, pairs: set[tuple]) -> None:
+        for pair in pairs:
+            self._shut(*pair)
+
+    @staticmethod
+    def _shut(*socks) -> None:
+        for sock in socks:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # it is closed already
+
+    def close(self) -> None:
+        """End it and all that goes through it."""
+        self._end(set(self.pairs))
+        self.whole.set()
+        self.server.stop(timeout=0.1)
