--- a/cypressledge/lab/capacity_day.py
+++ b/cypressledge/lab/capacity_day.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """One thing to do at `at` seconds of the day, for `span` seconds. `pick`: 0 to 1, decides which. """
+    """One thing to do at `at` seconds of the day, for `span` seconds. `pick`: 0 to 1, decides which."""
 
     at: float
     kind: str
@@ -46,8 +46,8 @@
 
 
 def draw(seed: int, seconds: float, term_s: float, every_s: float) -> Day:
-    """A day of so many seconds; a change every `every_s` seconds on average. Each kind of fault comes once before
-    one comes again; the first ones of a short day take a primary away, kill brokers and cut regions."""
+    """A day of so many seconds; a change every `every_s` seconds on average. Each kind of fault comes once
+    before one comes again; the first of a short day take a primary away, kill brokers and cut regions."""
     rng = random.Random(seed)
     faults: list[Event] = []
     at, rounds = LEAD_S, 0
