--- a/cypressledge/cli.py
+++ b/cypressledge/cli.py
@@ -295,3 +295,26 @@
     from cypressledge.lab.virtual import report
 
     report(brokers, leases_, voters, seconds, seed, click.echo)
+
+
+@lab.command()
+@click.option("--brokers", default=460, show_default=True, type=click.IntRange(8, 460))
+@click.option("--engines", default=490, show_default=True, type=click.IntRange(8, 490))
+@click.option("--real", default=5, show_default=True, type=click.IntRange(0, 16),
+              help="Real brokers of them.")
+@click.option("--seconds", default=240.0, show_default=True, help="Of the day; start and end come on top.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--points", default="", help="Numbers of brokers, with commas: one run for each.")
+@click.option("--json", "json_file", default="", help="Append each run's figures to this file.")
+@click.option("--plot", default="", help="Draw times and costs into this file (needs matplotlib).")
+@click.option("--quick", is_flag=True, help="60 brokers, 60 engines, 30 s.")
+@click.option("--members/--no-members", default=False, show_default=True,
+              help="Whether hollow brokers are members of a fleet, too.")
+@click.option("--ping", "ping_s", default=1.0, show_default=True, help="Seconds of the members' ping period.")
+@click.option("--keep", default="", help="Keep each run's files in this folder.")
+def capacity(**how) -> None:
+    """Control processes, real and hollow brokers on the loopback, and a day of changes and faults."""
+    from cypressledge.lab.capacity import run
+
+    live = sys.stderr.isatty() and os.environ.get("TERM") != "dumb"
+    sys.exit(run(**how, say=click.echo, live=live))
--- a/cypressledge/lab/processes.py
+++ b/cypressledge/lab/processes.py
@@ -29,15 +29,15 @@
         self.process: subprocess.Popen | None = None
         self.stopped = False
 
-    def start(self, fleet: bool = True) -> None:
-        """Start it, with or without the fleet's part; its log goes on in the same file."""
+    def start(self, fleet: bool = True, more: tuple[str, ...] = ()) -> None:
+        """Start it, with or without the fleet's part; its log goes on in the same file. `more`: arguments."""
         self.fleet_file.write_text(yaml.safe_dump(self.fleet))
         env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
         env |= {"ROUTER_CONFIG": str(self.config_file), "TMPDIR": str(self.folder)}
         with open(self.log_file, "a", encoding="utf-8") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-O", "-m", "cypressledge",
-                 *(("--fleet", str(self.fleet_file)) if fleet else ())],
+                 *(("--fleet", str(self.fleet_file)) if fleet else ()), *more],
                 cwd=ROOT, env=env, stdout=log, stderr=log, stdin=subprocess.DEVNULL, start_new_session=True)
         self.stopped = False
 
--- /dev/null
+++ b/tests/test_capacity_play.py
@@ -0,0 +1,116 @@
+"""The scale run's operator against made-up answers: it finds what must not be answered. And its records."""
+
+import json
+from types import SimpleNamespace
+
+import pytest
+
+from cypressledge.lab import capacity_play as play
+from cypressledge.lab.capacity_check import Acked
+from cypressledge.lab.capacity_day import Event
+from cypressledge.lab.capacity_fleet import Cost
+
+
+class Plane:
+    """Answers as a control process would, or with one fault."""
+
+    def __init__(self, fault=""):
+        self.fault, self.version, self.requests, self.keys, self.calls = fault, 0, {}, {}, 0
+
+    def http(self, port, method, path, body, seconds):
+        self.calls += 1
+        told = json.loads(body)
+        ops = told["ops"]
+        keys = [*ops.get("set", ()), *ops.get("remove", ())]
+        if self.fault == "moved" and self.calls == 1:
+            return 503, {"answer": "not primary", "at": "127.0.0.1:102"}
+        if self.fault != "twice" and told["request"] in self.requests:
+            return 200, self.done(self.requests[told["request"]])
+        if self.fault != "takes all" and self.is_bad(ops):
+            return 422, {"answer": "invalid", "why": "bad"}
+        base = told["base"]
+        if self.fault != "no clash" and base is not None and any(self.keys.get(k, 0) > base for k in keys):
+            return 409, {"answer": "clash", "why": "changed"}
+        if self.fault == "refuses":
+            return 409, {"answer": "clash", "why": "changed"}
+        self.version += 1
+        self.requests[told["request"]] = self.version
+        self.keys |= {k: self.version for k in keys}
+        if self.fault == "lost answers" and self.calls % 2:
+            raise TimeoutError
+        return 200, self.done(self.version)
+
+    @staticmethod
+    def done(version):
+        return {"answer": "done", "version": version, "epoch": 1}
+
+    @staticmethod
+    def is_bad(ops):
+        values = ops.get("set", {})
+        return "remove" in ops and "config/Classes" in ops["remove"] or any(
+            k in ("engine/bad", "engine/no good", "nothing/x") or v == {"DrainGrace": 1}
+            for k, v in values.items())
+
+
+def operator(monkeypatch, fault=""):
+    plane = Plane(fault)
+    monkeypatch.setattr(play, "http", plane.http)
+    monkeypatch.setattr(play, "PAUSE_S", 0.001)
+    standin = SimpleNamespace(member=lambda: {"host_port": "127.0.0.1:5"})
+    world = SimpleNamespace(size=SimpleNamespace(engines=9), standins=[standin],
+                            controls=[SimpleNamespace(management=101), SimpleNamespace(management=102)])
+    return play.Operator(world, 1), plane
+
+
+KINDS = ("settings", "engine drains", "engine goes", "engine comes", "repeat", "clash", "bad")
+
+
+@pytest.mark.parametrize("fault", ["", "lost answers", "moved"])
+def test_a_sound_plane_has_nothing_wrong(monkeypatch, fault):
+    asking, plane = operator(monkeypatch, fault)
+    for kind in KINDS * 3:
+        asking.do(Event(0, kind))
+    assert asking.wrongs == [] and asking.counts["bad refused"] == 3
+    assert asking.counts["clashed"] == 3 and asking.counts["repeated"] == 3
+    assert {a.version for a in asking.acked} == set(range(1, plane.version + 1))
+
+
+@pytest.mark.parametrize("fault, kind, words", [
+    ("twice", "repeat", "and then"), ("no clash", "clash", "both taken"), ("takes all", "bad", "was taken"),
+    ("refuses", "settings", "good change")])
+def test_a_fault_is_found(monkeypatch, fault, kind, words):
+    asking, _ = operator(monkeypatch, fault)
+    asking.do(Event(0, kind))
+    assert len(asking.wrongs) == 1 and words in asking.wrongs[0]
+
+
+def test_the_primary_is_followed(monkeypatch):
+    asking, _ = operator(monkeypatch, "moved")
+    asking.do(Event(0, "settings"))
+    assert asking.first == 102 and len(asking.acked) == 1
+
+
+def test_what_the_harness_saw_becomes_the_checkers():
+    asking = SimpleNamespace(acked=[Acked(900, 3, "r3"), Acked(950, 4, "r4")], wrongs=[])
+    faults = play.Faults(None, None, kills=[("a", 50), ("a", 500)])
+    records = [{"at": at, "broker": "a", "run": run, "event": "start"}
+               for at, run in ((10, 1), (20, 1), (60, 2), (600, 3))]
+    controls = [{"at": 800, "who": "c1", "event": "acknowledged", "version": 3, "request": "r3"},
+                {"at": 990, "who": "c1", "event": "acknowledged", "version": 4, "request": "r4"}]
+    seen = play.seen(asking, faults, records, controls, frozenset("a"), 1000)
+    assert seen.ends == {("a", 1): 50, ("a", 2): 500}
+    assert [a.at for a in seen.acked] == [800, 950]
+
+
+def test_the_tail_of_a_file_is_whole_lines(tmp_path):
+    path = tmp_path / "a"
+    path.write_text("".join(json.dumps({"n": n, "x": "y" * 50}) + "\n" for n in range(3_000)) + '{"n": 3')
+    found = play.tail(path)
+    assert found[-1]["n"] == 2_999 and 500 < len(found) < 1_200
+
+
+def test_a_cost_counts_over_lives():
+    cost = Cost()
+    for total in (100, 250, 40, 60):  # a new life begins at 0
+        cost.count(total)
+    assert cost.net == 310
