--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -203,11 +203,16 @@
     def _committed(self, changes: list[Change] | None, snapshot: Snapshot | None) -> None:
         if snapshot is not None:
             self.history.reset(snapshot)
+            self._note_committed(snapshot)
         for change in changes or ():
             self.history.apply(change)
+            self._note_committed(change)
         self.news = True
-        state = self.history.state
-        self._note("committed", epoch=state.epoch, version=state.version, digest=state.digest.hex())
+
+    def _note_committed(self, what: Change | Snapshot) -> None:
+        """Each version by itself: a checker compares with it what brokers had in force."""
+        self._note("committed", epoch=what.epoch, version=what.version, digest=what.digest.hex(),
+                   request=getattr(what, "request", ""))
 
     def _learned(self, changes: list[Change] | None, snapshot: Snapshot | None) -> None:
         """As `_committed`, from a learner's own greenlet."""
--- a/cypressledge/lab/capacity_check.py
+++ b/cypressledge/lab/capacity_check.py
@@ -140,7 +140,7 @@
     """The digest of each version, as committed; two that differ are a fault."""
     truth: dict[int, str] = {}
     for record in controls:
-        if record["event"] in ("committed", "acknowledged"):
+        if record["event"] == "committed":
             version, digest = record["version"], record["digest"]
             if truth.setdefault(version, digest) != digest:
                 verdict.wrong.append(f"{record['who']} has version {version} as {digest}, another as "
--- a/cypressledge/lab/capacity_fleet.py
+++ b/cypressledge/lab/capacity_fleet.py
@@ -109,7 +109,7 @@
 
     def start(self, first: Path | None = None) -> None:
         """Start it; with `first`, in an empty store with what that file says."""
-        more = ["--first", "--seed", str(first)] if first else []
+        more = ["--first", str(first)] if first else []
         with open(self.log, "a", encoding="utf-8") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-O", "-m", "cypressledge", "control", "serve", "--settings",
@@ -326,7 +326,8 @@
             placed.up = True
             if placed.host is None:
                 file = str(self.real.folder / f"{name}.control.yaml")
-                self.real.all[name].start(False, ("--control", file))
+                self.real.all[name].start(False, ("--control", file), {
+                    "ROUTER_ZONE": placed.zone, "ROUTER_REGION": placed.region})
                 continue
             placed.host.tell(do="start", broker=name, zone=placed.zone, region=placed.region,
                              address=placed.address, settings=str(self.folder / f"{placed.region}.yaml"),
--- a/cypressledge/lab/hollow.py
+++ b/cypressledge/lab/hollow.py
@@ -84,7 +84,7 @@
         self.run = int.from_bytes(os.urandom(7), "big") or 1
         self.counters = Counters()
         self.log = logger(self.name, self.run)
-        self.node, self.sock, self.peers = None, None, None
+        self.node, self.sock = None, None
         self.agent = FollowerAgent(self.name, self.run, settings, told["zone"], told["region"], self.address,
                                    self._changed, self.counters, record=told["record"], log=self.log)
         if self.members:
@@ -113,13 +113,14 @@
     def _beyond(self, sender: str) -> bool:
         return self.host.is_cut and self.host.regions.get(sender, self.region) != self.region
 
-    def _changed(self, state) -> None:
-        """Guards against work at each change of a setting: peers are read where a broker's key is another."""
-        keys = [(k, e.version) for k, e in state.entries.items() if k.startswith("broker/")]
-        mark = hash(frozenset(keys))
-        if mark == self.peers:
+    def _changed(self, state, change) -> None:
+        """Guards against work at each change of a setting: peers are read where a broker's key is touched,
+        and by the first only of those that share this process's knowledge of regions."""
+        if change is not None and not any(op.key.startswith("broker/") for op in change.ops):
             return
-        self.peers = mark
+        if self.node is None and self.host.regions_at >= state.version:
+            return
+        self.host.regions_at = state.version
         found = state.brokers()
         for name, broker in found.items():
             self.host.regions[name] = broker.region
@@ -145,7 +146,8 @@
     def __init__(self, say: Callable[[dict], None]) -> None:
         self.say, self.brokers = say, {}
         self.settings: dict[str, ControlSettings] = {}
-        self.regions: dict[str, str] = {}
+        self.regions: dict[str, str] = {}  # of brokers, by name
+        self.regions_at = 0  # version that they are of
         self.is_cut = False
         self.gone_bytes, self.gone_counts = 0, {}
         self.late: list[float] = []
--- a/cypressledge/lab/processes.py
+++ b/cypressledge/lab/processes.py
@@ -29,11 +29,12 @@
         self.process: subprocess.Popen | None = None
         self.stopped = False
 
-    def start(self, fleet: bool = True, more: tuple[str, ...] = ()) -> None:
-        """Start it, with or without the fleet's part; its log goes on in the same file. `more`: arguments."""
+    def start(self, fleet: bool = True, more: tuple[str, ...] = (), place: dict | None = None) -> None:
+        """Start it, with or without the fleet's part; its log goes on in the same file. `more`: arguments;
+        `place`: of the environment, where it is."""
         self.fleet_file.write_text(yaml.safe_dump(self.fleet))
         env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
-        env |= {"ROUTER_CONFIG": str(self.config_file), "TMPDIR": str(self.folder)}
+        env |= {"ROUTER_CONFIG": str(self.config_file), "TMPDIR": str(self.folder)} | (place or {})
         with open(self.log_file, "a", encoding="utf-8") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-O", "-m", "cypressledge",
