--- a/cypressledge/cli.py
+++ b/cypressledge/cli.py
@@ -284,7 +284,7 @@
 @click.option("--json", "json_file", default="", help="Append each run's figures to this file.")
 @click.option("--plot", default="", help="Draw times and costs into this file (needs matplotlib).")
 @click.option("--quick", is_flag=True, help="60 brokers, 60 engines, 30 s.")
-@click.option("--members/--no-members", default=False, show_default=True,
+@click.option("--members/--no-members", default=True, show_default=True,
               help="Whether hollow brokers are members of a fleet, too.")
 @click.option("--ping", "ping_s", default=1.0, show_default=True, help="Seconds of the members' ping period.")
 @click.option("--keep", default="", help="Keep each run's files in this folder.")
--- a/cypressledge/lab/capacity.py
+++ b/cypressledge/lab/capacity.py
@@ -20,7 +20,9 @@
 
 from cypressledge.lab import capacity_check as cc
 from cypressledge.lab.capacity_day import Day, draw
-from cypressledge.lab.capacity_fleet import TERM_S, ScaleError, Size, World, engine, ghost, http
+from cypressledge.lab.capacity_fleet import (
+    MEMBERS, TERM_S, ScaleError, Size, World, engine, ghost, http,
+)
 from cypressledge.lab.capacity_play import Faults, Operator, now, seen, tail
 from cypressledge.lab.processes import ROOT, until
 
@@ -178,6 +180,8 @@
             "all_p99_s": round(cc.quantile(v.all, 0.99), 3), "all_most_s": round(max(v.all, default=0.0), 3),
             "hollow_cpu_pct": round(self.hollow[0], 2), "real_cpu_pct": round(self.real[0], 2),
             "hollow_net_kb_s": round(self.hollow[1], 2), "real_net_kb_s": round(self.real[1], 2),
+            "alive_fewest": min(h.alive for h in world.hosts),
+            "leases_held": sum(h.held for h in world.hosts),
             "members_ping_s": self.size.ping_s, "start_s": round(self.start_s, 1)}
         self.broken += [f"too little took place: {why}"
                         for why in cc.too_little(v, told, self.size.brokers, self.seconds)]
@@ -204,7 +208,9 @@
         say("faults: " + (", ".join(f"{k} {n}" for k, n in self.faults.counts.items()) or "none"))
         say(f"snapshots {f['snapshots']}, reconnects {f['reconnects']}; real brokers served {self.served} "
             f"lookups, {self.refused} were not; members' ping period "
-            + (f"{self.size.ping_s:g} s" if self.size.ping_s else "none"))
+            + (f"{self.size.ping_s:g} s; at the end the fewest that one has for alive {f['alive_fewest']} of "
+               f"{self.size.brokers - self.size.real}, leases held {f['leases_held']} of {MEMBERS['leases']}"
+               if self.size.ping_s else "none"))
         host_late = max((x for h in self.world.hosts for x in h.late), default=0.0)
         say(f"start of all {self.start_s:.1f} s; load average {self.load_before:.2f} before, "
             f"{self.load_most:.2f} at the most; wake-ups late by {f['late_ms_p99']:.1f} ms p99, "
--- /dev/null
+++ b/tests/test_capacity_run.py
@@ -0,0 +1,64 @@
+"""The scale run, tiny: its command on real sockets, and that nothing of it is left when it is ended."""
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from cypressledge.lab.processes import ROOT
+
+LINE = re.compile(
+    r"capacity: brokers 12, engines 20, changes (\d+), in force p99 [\d.]+ s most ([\d.]+) s, primary over "
+    r"most ([\d.]+) s, broker cpu [\d.]+ % net [\d.]+ KB/s rss [\d.]+ MB, lost (\d+), gone back (\d+), "
+    r"wrong (\d+)")
+SMALL = ("lab", "capacity", "--brokers", "12", "--engines", "20", "--real", "1", "--seed", "3")
+
+
+def command(*more):
+    return subprocess.Popen([sys.executable, "-m", "cypressledge", *SMALL, *more], cwd=ROOT, text=True,
+                            stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+
+
+def children(pid):
+    """Processes that a process has started and that run."""
+    found = []
+    for stat in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            fields = stat.read_text().rpartition(")")[2].split()
+        except OSError:
+            continue
+        if int(fields[1]) == pid and fields[0] != "Z":
+            found.append(int(stat.parent.name))
+    return found
+
+
+def test_a_tiny_run_loses_nothing(tmp_path):
+    file = tmp_path / "figures.json"
+    run = command("--seconds", "20", "--json", str(file))
+    words = run.communicate(timeout=150)[0]
+    print(words)
+    found = LINE.fullmatch(words.splitlines()[-1])
+    assert found and found.groups()[3:] == ("0", "0", "0")
+    assert int(found[1]) >= 5 and float(found[2]) <= 12 and float(found[3]) <= 8
+    assert run.returncode == 0, words
+    figures = json.loads(file.read_text())
+    assert figures["lost"] == 0 and figures["faults"] and len(figures["load_average"]) == 2
+
+
+def test_one_that_is_ended_leaves_nothing_behind():
+    run = command("--seconds", "60")
+    try:
+        end = time.monotonic() + 60
+        while len(own := children(run.pid)) < 10 and time.monotonic() < end:
+            time.sleep(0.2)
+        assert len(own) >= 10  # eight control processes, a host, a real broker
+        run.send_signal(signal.SIGTERM)
+        run.wait(30)
+        assert not [pid for pid in own if os.path.exists(f"/proc/{pid}")]
+    finally:
+        run.kill()
+        run.communicate()
