--- a/cypressledge/lab/capacity_fleet.py
+++ b/cypressledge/lab/capacity_fleet.py
@@ -32,7 +32,7 @@
 LIVE = "live"  # the zone of the engines that answer: real brokers use no other
 TERM_S, PING_S = 2.0, 0.3  # of the control processes' own leases
 STANDINS = 6
-ASK_EVERY_S = 1.0  # between two lookups at a real broker: it is to serve, but its cost is to be the mechanism's
+ASK_EVERY_S = 1.0  # between lookups at a real broker: it is to serve, at next to no cost of that
 MEMBERS = {"term_s": 4.0, "voters": 5, "leases": 8}
 
 
