Control plane: a known peer may send large frames: the buffer's bound goes along

Need: found by lab capacity at 490 engines: no primary for 40 s. A voter ended the primary's link at every Append over 8 KB: the frame's bound was raised after Hello, the buffer's stayed at 4 KB. Change: Frames.allow sets both.

--- a/cypressledge/controlplane/frames.py
+++ b/cypressledge/controlplane/frames.py
@@ -58,6 +58,10 @@
         self.finished = False
         tune(sock)
 
+    def allow(self, most: int) -> None:
+        """Frames of so many bytes from now on, once it is known who this is: the buffer's bound goes along."""
+        self.most, self.buffer.cap = most, most + HEAD + 1
+
     def send(self, message: Message, raw: bytes = b"") -> None:
         """Queue a frame; never blocks. `raw`: the same message, encoded before."""
         raw = raw or encode(message)
--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -344,7 +344,7 @@
             frames.finish()
             frames.receive(1.0)
             return
-        frames.most = BROKER_MOST
+        frames.allow(BROKER_MOST)
         conn = next(self.numbers)
         self.brokers[conn] = frames
         self.inbox.put((self.publisher.connected, conn, hello))
@@ -402,7 +402,7 @@
         if former is not None:
             former.close()
         self.heard[hello.name] = frames
-        frames.most = FRAME_MOST
+        frames.allow(FRAME_MOST)
         frames.send(Welcome(self.name, self.run_id, self.replica.lineage))
         try:
             while True:
