--- a/cypressledge/controlplane/frames.py
+++ b/cypressledge/controlplane/frames.py
@@ -59,7 +59,7 @@
         tune(sock)
 
     def allow(self, most: int) -> None:
-        """Frames of so many bytes from now on, once it is known who this is: the buffer's bound goes along."""
+        """Frames of so many bytes from now on, as it is known who this is: the buffer's bound goes along."""
         self.most, self.buffer.cap = most, most + HEAD + 1
 
     def send(self, message: Message, raw: bytes = b"") -> None:
