--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import resource
 import signal
 import time
 from functools import partial
@@ -19,7 +20,7 @@
 from gevent.queue import Empty, Full, Queue
 
 from cypressledge.config import ConfigError, address
-from cypressledge.controlplane.faults import VARIABLE, Faults
+from cypressledge.controlplane.faults import ONCE, VARIABLE, Faults
 from cypressledge.controlplane.frames import HELLO_S, Ended, Frames, Traffic, connect
 from cypressledge.controlplane.history import History
 from cypressledge.controlplane.lag import InForce
@@ -51,6 +52,7 @@
 HELLO_MOST = 4 << 10  # bytes of the first frame
 BROKER_MOST = 64 << 10  # bytes of a broker's later ones
 SPARE = 64  # connections beyond the brokers': peers, and those that haven't said Hello
+OWN_SOCKETS = 128  # descriptors that are nobody's connection, or an operator's
 SILENT_S = 60.0  # seconds between two words of a peer: only its end is waited for
 BACK_OFF = (0.05, 1.0)  # seconds between tries to reach a peer, doubling
 REPORT_US = 200_000  # between words to the primary of what brokers have in force
@@ -434,7 +436,8 @@
             self.counters.add("control.no_link")
             return
         step = message.__struct_config__.tag
-        due = (not isinstance(message, Append) or bool(message.changes)) and self.faults.due(step)
+        counts = not isinstance(message, Append) or any(c.request for c in message.changes)
+        due = counts and self.faults.due(step)
         if due and self.faults.when == "before":
             self.faults.strike()
         frames.send(message)
@@ -500,6 +503,7 @@
             if not self.leads:
                 raise NotPrimary(self.primary)
             base = replica.tail.version if asked.base is None else asked.base
+            check_classes(replica.tail, asked.ops)
             if asked.dry_run:
                 self._try(asked, base, exchange)
                 return
@@ -625,12 +629,37 @@
         os._exit(3)
 
 
+def check_classes(state: FleetState, ops: list[Op]) -> None:
+    """Guards against settings that no broker can take before its restart. Raises `StateError`."""
+    held = state.entries.get("config/Classes")
+    new = next((op.value for op in ops if op.key == "config/Classes"), None)
+    if held is None or new is None:
+        return
+    names = [[k.get("Name") for k in classes if isinstance(k, dict)] if isinstance(classes, list) else []
+             for classes in map(plain, (held.value, new))]
+    if names[0] != names[1]:
+        raise StateError("config: brokers take other classes only at a restart: remove all of config, "
+                         "restart them with files that hold the new classes, then set it again")
+
+
+def allow_sockets(brokers: int) -> None:
+    """Guards against brokers that take the descriptors which the store and the other processes need."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = brokers + SPARE + OWN_SOCKETS
+    if soft < wanted:
+        soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    if soft < wanted:
+        raise ConfigError(f"brokers_most needs {wanted} descriptors; this process may have {soft}")
+
+
 def main(file: str, name: str, folder: str, seed: dict | None, rejoin: bool) -> int:
     """Run one control process; what is wrong with its settings or its store is one plain line, and 2."""
     buffer.GROWN.most, stream.QUEUED.most = GROWN_MOST, QUEUED_MOST
     try:
         settings = read_control(file)
-        faults = Faults(os.environ.get(VARIABLE, ""))
+        allow_sockets(settings.brokers_most)
+        faults = Faults(os.environ.get(VARIABLE, ""), os.environ.get(ONCE, ""))
         create = "rejoin" if rejoin else "" if seed is None else "first"
         disk = None
         if settings.server(name).votes:
--- a/tests/controlplane.py
+++ b/tests/controlplane.py
@@ -76,21 +76,22 @@
     def start(self, *more, fault=""):
         self.launch("control", "serve", "--settings", str(self.plane.file), "--name", self.name,
                     "--store", str(self.plane.folder / f"store-{self.name}"), *more,
-                    **({"CYPRESSLEDGE_LAB_FAULT": fault} if fault else {}))
+                    CYPRESSLEDGE_LAB_FAULT=fault, CYPRESSLEDGE_LAB_ONCE=str(self.plane.folder / "once"))
 
     def status(self):
         return ask(self, "/control/status") or {}
 
 
 class Broker(Running):
-    """A broker that follows them; `fleet`: what its fleet file holds, none without the fleet's part."""
+    """A broker that follows them; `fleet`: what its fleet file holds, none without the fleet's part;
+    `settings`: of its own file, in place of the laboratory's."""
 
-    def __init__(self, plane, name, members=(), fleet=None):
+    def __init__(self, plane, name, members=(), fleet=None, settings=None):
         super().__init__(name, plane.folder)
         self.plane, self.fleet = plane, fleet
         self.port, self.management = free_port(), free_port()
         self.config = plane.folder / f"{name}.json"
-        self.config.write_text(json.dumps(config(name, self.port, self.management, list(members))))
+        self.config.write_text(json.dumps(config(name, self.port, self.management, list(members), settings)))
 
     def start(self):
         more = []
@@ -141,9 +142,10 @@
         self.brokers = {}
         self.count = 0
 
-    def start(self):
+    def start(self, fault=""):
+        """All of them; whoever comes to the fault first has it. The primary's name."""
         for control in self.controls.values():
-            control.start("--first", str(self.seed))
+            control.start("--first", str(self.seed), fault=fault)
         return self.primary()
 
     def primary(self, but="", seconds=WAIT):
@@ -155,8 +157,8 @@
         assert got, self.words()
         return got
 
-    def broker(self, name, members=(), fleet=None):
-        self.brokers[name] = Broker(self, name, members, fleet)
+    def broker(self, name, *what, **how):
+        self.brokers[name] = Broker(self, name, *what, **how)
         self.brokers[name].start()
         return self.brokers[name]
 
--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -1,5 +1,6 @@
 """Control processes, and brokers that follow them, as processes: changes, a dead primary, nobody there."""
 
+import shutil
 import signal
 import time
 
@@ -70,6 +71,63 @@
     assert code == 2 and "refused: clash: changed meanwhile: engine/s-1" in words
 
 
+def test_other_classes_are_not_for_brokers_that_run(plane):
+    """A broker whose file has others says that it refuses; a change to others is refused before that."""
+    plane.start()
+    code, words = plane.change({"config": {"Classes": SETTINGS["Classes"][:2]}})
+    assert code == 2 and "brokers take other classes only at a restart" in words, words
+    broker = plane.broker("n1", settings={"Classes": SETTINGS["Classes"][:1]})
+    assert in_force(broker, 1), plane.words()
+    assert until(lambda: broker.status()["refused"] == "other classes need a restart", WAIT), broker.status()
+    assert (broker.figure("control.refused"), broker.figure("reload_failures")) == (1, 1)
+
+
+def test_a_reload_keeps_what_came_from_the_control_plane(plane):
+    plane.start()
+    engine, other = LabEngine("s-1", "room1"), LabEngine("s-2", "room1")
+    broker = plane.broker("n1", [other.member()])
+    code, words = plane.change({"engines": {
+        "s-1": ENGINE | {"address": f"127.0.0.1:{engine.server.server_port}"}}})
+    assert code == 0, words + plane.words()
+    assert broker.served()
+    before = other.asked
+    broker.process.send_signal(signal.SIGHUP)
+    assert until(lambda: "reload: the new configuration is in force" in broker.words(), WAIT)
+    assert broker.served(20)
+    assert (other.asked, broker.status()["sections"]) == (before, sorted(SETTINGS))
+    engine.server.stop()
+    other.server.stop()
+
+
+@pytest.mark.parametrize("fault", ["kill-after:append:1", "kill-before:append:1", "stop-before:append:2"])
+def test_a_primary_that_fails_amid_a_change_loses_none(plane, fault):
+    """A change is on one disk alone, or on two. Whatever of it had left: what was acknowledged stays, and a
+    repeat comes into force once."""
+    first = plane.start(fault)
+    struck = plane.controls[first]
+    engines = [{f"s-{n}": ENGINE | {"address": f"127.0.0.1:{n + 1}"}} for n in range(3)]
+    changes = {f"r{n}": {"engines": engine} for n, engine in enumerate(engines)}
+    for request, what in changes.items():
+        code, words = plane.change(what, "--request", request)
+        assert code == 0, words + plane.words()
+    killed = fault.startswith("kill")
+    assert struck.process.poll() == (-signal.SIGKILL if killed else None), plane.words()
+    if killed:
+        struck.start()
+    else:
+        struck.process.send_signal(signal.SIGCONT)
+    newest = plane.controls[plane.primary(first)].status()
+    assert until(lambda: struck.status().get("digest") == newest["digest"], WAIT), plane.words()
+    for request, what in changes.items():
+        assert plane.change(what, "--request", request)[0] == 0, plane.words()
+    for told in plane.records("acknowledged"):
+        again = {r["version"] for r in plane.records("acknowledged") if r["request"] == told["request"]}
+        assert again == {told["version"]}
+    assert plane.controls[plane.primary()].status()["version"] == newest["version"]
+    code, words, _ = run("control", "state", *plane.at(), "--prefix", "engine/")
+    assert [f"engine/s-{n}" in words for n in range(3)] == [True] * 3
+
+
 def test_another_takes_over_from_a_killed_primary(plane):
     first = plane.start()
     broker = plane.broker("n1")
@@ -116,21 +174,16 @@
 
 
 def test_a_lost_answer_is_had_again_under_the_same_request(plane):
-    for control in plane.controls.values():
-        control.start("--first", str(plane.seed), fault="kill-before-answer:1")
-    first = plane.primary()
-    code, words = plane.change({"engines": {"s-1": ENGINE}}, "--request", "one", "--wait", "1")
+    first = plane.start("kill-before-answer:1")
+    code, words = plane.change({"engines": {"s-1": ENGINE}}, "--request", "one", "--wait", "0.5")
+    assert code == 1 and "repeat it with --request one" in words, words + plane.words()
     assert plane.controls[first].process.wait(WAIT) == -signal.SIGKILL
-    if code:
-        assert "repeat it with --request one" in words
-    for name, control in plane.controls.items():  # without the fault
-        control.kill()
-        control.start()
-        assert until(control.status, WAIT), name
+    before = {r["version"] for r in plane.records("committed")}
     code, words = plane.change({"engines": {"s-1": ENGINE}}, "--request", "one")
-    assert code == 0, words + plane.words()
-    code, told, _ = run("control", "history", *plane.at(), "--json")
-    assert code == 0 and told.count('"request": "one"') <= 1
+    assert code == 0 and version_of(words) in before, words + plane.words()
+    primary = plane.controls[plane.primary(first)]
+    code, told, _ = run("control", "history", "--at", primary.spec["management"], "--json")
+    assert code == 0 and told.count('"request": "one"') == 1
 
 
 def test_a_full_disk_ends_a_primary_and_no_change_is_lost(plane):
@@ -241,11 +294,21 @@
     assert control.process.poll() is None
 
 
-def test_an_empty_store_needs_a_word(plane):
-    control = plane.controls["c1"]
-    control.start()
-    assert control.process.wait(WAIT) == 2
-    assert "Start with --rejoin" in control.words() and len(control.words().splitlines()) == 1
+def test_a_lost_disk_needs_a_word_and_comes_back(plane):
+    lost = plane.controls[next(n for n in plane.controls if n != plane.start())]
+    assert plane.change({"engines": {"s-1": ENGINE}})[0] == 0
+    lost.kill()
+    shutil.rmtree(plane.folder / f"store-{lost.name}")
+    said = len(lost.words())
+    lost.start()
+    assert lost.process.wait(WAIT) == 2
+    words = lost.words()[said:]
+    assert "Start with --rejoin" in words and len(words.splitlines()) == 1
+    lost.start("--rejoin")
+    assert until(lambda: lost.status().get("version", 0) >= 2 and not lost.status()["joining"], WAIT), words
+    assert plane.change({"engines": {"s-2": ENGINE | {"address": "127.0.0.1:8"}}})[0] == 0
+    newest = plane.controls[plane.primary()].status()
+    assert until(lambda: lost.status()["digest"] == newest["digest"], WAIT), plane.words()
 
 
 def server(number, **more):
