Scale run: a broker's life ends when its host says so; commands are read at once

Change: hosts read what has come in one go and say when a broker was killed; the checker takes that. The run keeps seen.json, says its commit at the start, and ends where it is too large for the machine.

--- a/cypressledge/lab/capacity.py
+++ b/cypressledge/lab/capacity.py
@@ -12,7 +12,7 @@
 import tempfile
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 import gevent
@@ -52,10 +52,11 @@
     load_before: float = 0.0
     load_most: float = 0.0
     start_s: float = 0.0
+    commit: str = ""
 
     def play(self) -> "Point":
         """Start, play the day, end, judge."""
-        self.load_before = os.getloadavg()[0]
+        self.load_before, self.commit = os.getloadavg()[0], _commit()
         self.world = World(self.size, self.seed, self.folder)
         self.parts = [gevent.spawn(self._lateness)]
         try:
@@ -99,6 +100,8 @@
         for event in day.faults:
             gevent.sleep(max(0.0, began + event.at - time.monotonic()))
             self._show(f"{event.at:5.1f} s: {event.kind}")
+            if self._too_large():
+                raise ScaleError(f"too much for the machine: {self._too_large()}")
             self.faults.play(event)
         gevent.sleep(max(0.0, began + day.seconds - time.monotonic()))
         gevent.joinall(changes, timeout=END_S)
@@ -120,7 +123,7 @@
             self.late.append(time.monotonic() - due)
 
     def _watch(self) -> None:
-        """Looks at the processes; guards the machine's memory and its number of processes."""
+        """Looks at the processes, once a second."""
         while True:
             self.world.look()
             self.load_most = max(self.load_most, os.getloadavg()[0])
@@ -154,7 +157,10 @@
         world, folder = self.world, self.folder
         brokers = cc.read_records(sorted(folder.glob("*.broker.jsonl")))
         controls = cc.read_records(sorted(folder.glob("*.control.jsonl")))
-        told = seen(self.operator, self.faults, brokers, controls, frozenset(world.brokers), self.over)
+        told = seen(self.operator, self.faults, brokers, controls, frozenset(world.brokers), self.over,
+                    {k: at for h in world.hosts for k, at in h.killed.items()})
+        kept = asdict(told) | {"ends": [[*life, at] for life, at in told.ends.items()]}
+        (folder / "seen.json").write_text(json.dumps(kept, default=sorted))
         self.verdict = v = cc.check(brokers, controls, told)
         hosts = [(h.cost.cpu_pct / n, h.cost.net_kb_s / n, h.cost.rss_mb / n) for h in world.hosts
                  if (n := sum(p.host is h for p in world.brokers.values()))]
@@ -167,7 +173,7 @@
         counts = sum((h.counts for h in world.hosts), start=type(world.hosts[0].counts)())
         self.figures = {
             "brokers": self.size.brokers, "engines": self.size.engines, "seconds": self.seconds,
-            "seed": self.seed, "commit": _commit(), "changes": v.changes,
+            "seed": self.seed, "commit": self.commit, "changes": v.changes,
             "p99_s": round(cc.quantile(v.quiet, 0.99), 3), "most_s": round(max(v.quiet, default=0.0), 3),
             "primary_most_s": round(max((s for s, _ in v.primary_over), default=0.0), 3),
             "broker_cpu_pct": round(cpu, 2), "broker_net_kb_s": round(net, 2),
@@ -186,8 +192,14 @@
         self.broken += [f"too little took place: {why}"
                         for why in cc.too_little(v, told, self.size.brokers, self.seconds)]
         self.broken += [f"limit passed: {why}" for why in cc.passed_limits(v, cpu, net, rss)]
-        if self.memory_mb > MEMORY_MOST_MB or self.processes > PROCESSES_MOST:
-            self.broken.append(f"{self.memory_mb:.0f} MB in {self.processes} processes")
+        if self._too_large():
+            self.broken.append(f"limit passed: {self._too_large()}")
+
+    def _too_large(self) -> str:
+        """What is over the run's own bounds, if anything."""
+        if self.memory_mb <= MEMORY_MOST_MB and self.processes <= PROCESSES_MOST:
+            return ""
+        return f"{self.memory_mb:.0f} MB in {self.processes} processes"
 
     def report(self) -> None:
         """Tables, and what is broken."""
@@ -264,7 +276,7 @@
 
 
 def _commit() -> str:
-    got = subprocess.run(["git", "rev-parse", "--short", "HEAD"], cwd=ROOT, capture_output=True, text=True)
+    got = subprocess.run(["git", "describe", "--always", "--dirty"], cwd=ROOT, capture_output=True, text=True)
     return got.stdout.strip()
 
 
--- a/cypressledge/lab/capacity_fleet.py
+++ b/cypressledge/lab/capacity_fleet.py
@@ -148,6 +148,7 @@
     def __init__(self, number: int, folder: Path) -> None:
         self.number, self.cost, self.late = number, Cost(), []
         self.started: dict[str, int] = {}
+        self.killed: dict[tuple[str, int], int] = {}  # by broker and run: when, µs
         self.counts: Counter[str] = Counter()
         self.alive, self.held = 0, 0
         with open(folder / f"host{number}.log", "a", encoding="utf-8") as log:
@@ -166,6 +167,8 @@
             told = json.loads(line)
             if told["event"] == "started":
                 self.started[told["broker"]] = told["run"]
+            elif told["event"] == "killed":
+                self.killed[told["broker"], told["run"]] = told["at"]
             elif told["event"] == "figures":
                 self.late.append(told["late"])
                 self.counts = Counter(told["counts"])
--- a/cypressledge/lab/capacity_play.py
+++ b/cypressledge/lab/capacity_play.py
@@ -338,15 +338,19 @@
 
 
 def seen(operator: Operator, faults: Faults, records: list[dict], controls: list[dict], names: frozenset[str],
-         over: int) -> Seen:
-    """What the harness did, for the checker. A kill ends the life that began last before it; a change counts
+         over: int, killed: dict[tuple[str, int], int]) -> Seen:
+    """What the harness did, for the checker. `killed`: the ends of hollow brokers' lives, as their hosts say:
+    a busy host may be late. Of a real one a kill ends the life that began last before it. A change counts
     from when a control process wrote that it was acknowledged, where one did before the answer was here."""
     begun: dict[tuple[str, int], int] = {}
     for r in records:
         key = (r["broker"], r["run"])
         begun[key] = min(begun.get(key, r["at"]), r["at"])
-    ends = {}
+    ends = dict(killed)
+    hollow = {name for name, _ in killed}
     for (name, run), at in begun.items():
+        if name in hollow:
+            continue
         after = [k for who, k in faults.kills if who == name and k >= at]
         if after:
             ends[name, run] = min(after)
--- a/cypressledge/lab/hollow.py
+++ b/cypressledge/lab/hollow.py
@@ -11,10 +11,10 @@
 import sys
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import gevent
-from gevent.fileobject import FileObjectThread
+from gevent.os import make_nonblocking, nb_read
 
 from cypressledge.config import address
 from cypressledge.controlplane.agent import FollowerAgent
@@ -226,10 +226,20 @@
     host = Host(say)
     gevent.spawn(host.watch)
     gevent.spawn(host.tell)
-    for line in FileObjectThread(sys.stdin.buffer):
+    for line in lines(sys.stdin.fileno()):
         host.obey(json.loads(line))
     return 0
 
 
+def lines(number: int) -> Iterator[bytes]:
+    """Whole lines of a descriptor until its end. Guards against a turn of all brokers for each line: what has
+    come is read at once."""
+    make_nonblocking(number)
+    rest = b""
+    while data := nb_read(number, 65_536):
+        *whole, rest = (rest + data).split(b"\n")
+        yield from whole
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/test_capacity_play.py
+++ b/tests/test_capacity_play.py
@@ -97,8 +97,8 @@
                for at, run in ((10, 1), (20, 1), (60, 2), (600, 3))]
     controls = [{"at": 800, "who": "c1", "event": "acknowledged", "version": 3, "request": "r3"},
                 {"at": 990, "who": "c1", "event": "acknowledged", "version": 4, "request": "r4"}]
-    seen = play.seen(asking, faults, records, controls, frozenset("a"), 1000)
-    assert seen.ends == {("a", 1): 50, ("a", 2): 500}
+    seen = play.seen(asking, faults, records, controls, frozenset("ab"), 1000, {("b", 7): 77})
+    assert seen.ends == {("a", 1): 50, ("a", 2): 500, ("b", 7): 77}
     assert [a.at for a in seen.acked] == [800, 950]
 
 
--- a/tests/test_capacity_run.py
+++ b/tests/test_capacity_run.py
@@ -9,6 +9,8 @@
 import time
 from pathlib import Path
 
+from cypressledge.lab.capacity import Point, draw_plot
+from cypressledge.lab.capacity_fleet import Size
 from cypressledge.lab.processes import ROOT
 
 LINE = re.compile(
@@ -62,3 +64,23 @@
     finally:
         run.kill()
         run.communicate()
+
+
+def test_points_are_drawn(tmp_path):
+    names = ("p99_s", "most_s", "primary_most_s", "hollow_cpu_pct", "real_cpu_pct", "hollow_net_kb_s",
+             "real_net_kb_s")
+    points = []
+    for count in (120, 60):
+        point = Point(Size(count, 490, 5), 30.0, 1, tmp_path, print)
+        point.figures = dict.fromkeys(names, 1.0) | {
+            "brokers": count, "engines": 490, "seconds": 30, "seed": 1}
+        points.append(point)
+    draw_plot(points, str(tmp_path / "a.png"))
+    assert (tmp_path / "a.png").stat().st_size > 5_000
+
+
+def test_a_run_that_is_too_large_for_the_machine_says_so(tmp_path):
+    point = Point(Size(12, 20, 1), 30.0, 1, tmp_path, print)
+    assert not point._too_large()
+    point.memory_mb, point.processes = 11_000.0, 20
+    assert "11000 MB" in point._too_large()
