--- a/cypressledge/lab/capacity_play.py
+++ b/cypressledge/lab/capacity_play.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import gevent
@@ -232,10 +233,7 @@
 
     def primary(self) -> str:
         """Who is the primary now, by what the control processes wrote; empty: none has said so."""
-        found = [r for c in self.world.controls if c.record.exists() for r in tail(c.record)
-                 if r["event"] in ("primary", "stepped_down")]
-        found.sort(key=lambda r: r["at"])
-        return found[-1]["who"] if found and found[-1]["event"] == "primary" else ""
+        return primary_of(r for c in self.world.controls if c.record.exists() for r in tail(c.record))
 
     def _awaited(self) -> str:
         for _ in range(100):
@@ -327,6 +325,15 @@
                       if p.region == "west"]
 
 
+def primary_of(records: Iterable[dict]) -> str:
+    """Who began under the highest epoch and has not ended there. Guards against a former primary that says
+    only later that it has stepped down."""
+    told = [r for r in records if r["event"] in ("primary", "stepped_down")]
+    newest = max((r["epoch"] for r in told if r["event"] == "primary"), default=-1)
+    last = [r for r in told if r["epoch"] == newest]
+    return "" if not last or any(r["event"] == "stepped_down" for r in last) else last[0]["who"]
+
+
 def tail(path) -> list[dict]:
     """The last records of a file, whole lines alone."""
     with open(path, "rb") as file:
--- a/tests/test_capacity_play.py
+++ b/tests/test_capacity_play.py
@@ -114,3 +114,13 @@
     for total in (100, 250, 40, 60):  # a new life begins at 0
         cost.count(total)
     assert cost.net == 310
+
+
+def test_who_the_primary_is():
+    def told(who, event, epoch):
+        return {"who": who, "event": event, "epoch": epoch}
+
+    assert play.primary_of([]) == ""
+    both = [told("c1", "primary", 5), told("c2", "primary", 9), told("c1", "stepped_down", 5)]
+    assert play.primary_of(both) == "c2"  # whatever the former one says later
+    assert play.primary_of([*both, told("c2", "stepped_down", 9)]) == ""
