--- /dev/null
+++ b/tests/test_capacity_run.py
@@ -0,0 +1,86 @@
+"""The scale run, tiny: its command on real sockets, and that nothing of it is left when it is ended."""
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from cypressledge.lab.capacity import Point, draw_plot
+from cypressledge.lab.capacity_fleet import Size
+from cypressledge.lab.processes import ROOT
+
+LINE = re.compile(
+    r"capacity: brokers 12, engines 20, changes (\d+), in force p99 [\d.]+ s most ([\d.]+) s, primary over "
+    r"most ([\d.]+) s, broker cpu [\d.]+ % net [\d.]+ KB/s rss [\d.]+ MB, lost (\d+), gone back (\d+), "
+    r"wrong (\d+)")
+SMALL = ("lab", "capacity", "--brokers", "12", "--engines", "20", "--real", "1", "--seed", "3")
+
+
+def command(*more):
+    return subprocess.Popen([sys.executable, "-m", "cypressledge", *SMALL, *more], cwd=ROOT, text=True,
+                            stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+
+
+def children(pid):
+    """Processes that a process has started and that run."""
+    found = []
+    for stat in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            fields = stat.read_text().rpartition(")")[2].split()
+        except OSError:
+            continue
+        if int(fields[1]) == pid and fields[0] != "Z":
+            found.append(int(stat.parent.name))
+    return found
+
+
+def test_a_tiny_run_loses_nothing(tmp_path):
+    file = tmp_path / "figures.json"
+    run = command("--seconds", "20", "--json", str(file))
+    words = run.communicate(timeout=150)[0]
+    print(words)
+    found = LINE.fullmatch(words.splitlines()[-1])
+    assert found and found.groups()[3:] == ("0", "0", "0")
+    assert int(found[1]) >= 5 and float(found[2]) <= 12 and float(found[3]) <= 8
+    assert run.returncode == 0, words
+    figures = json.loads(file.read_text())
+    assert figures["lost"] == 0 and figures["faults"] and len(figures["load_average"]) == 2
+
+
+def test_one_that_is_ended_leaves_nothing_behind():
+    run = command("--seconds", "60")
+    try:
+        end = time.monotonic() + 60
+        while len(own := children(run.pid)) < 10 and time.monotonic() < end:
+            time.sleep(0.2)
+        assert len(own) >= 10  # eight control processes, a host, a real broker
+        run.send_signal(signal.SIGTERM)
+        run.wait(30)
+        assert not [pid for pid in own if os.path.exists(f"/proc/{pid}")]
+    finally:
+        run.kill()
+        run.communicate()
+
+
+def test_points_are_drawn(tmp_path):
+    names = ("p99_s", "most_s", "primary_most_s", "hollow_cpu_pct", "real_cpu_pct", "hollow_net_kb_s",
+             "real_net_kb_s")
+    points = []
+    for count in (120, 60):
+        point = Point(Size(count, 490, 5), 30.0, 1, tmp_path, print)
+        point.figures = dict.fromkeys(names, 1.0) | {
+            "brokers": count, "engines": 490, "seconds": 30, "seed": 1}
+        points.append(point)
+    draw_plot(points, str(tmp_path / "a.png"))
+    assert (tmp_path / "a.png").stat().st_size > 5_000
+
+
+def test_a_run_that_is_too_large_for_the_machine_says_so(tmp_path):
+    point = Point(Size(12, 20, 1), 30.0, 1, tmp_path, print)
+    assert not point._too_large()
+    point.memory_mb, point.processes = 11_000.0, 20
+    assert "11000 MB" in point._too_large()
