--- a/cypressledge/controlplane/publisher.py
+++ b/cypressledge/controlplane/publisher.py
@@ -28,6 +28,7 @@
     beat_s: float = 1.0
     ahead_s: float = 5.0
     wholes_at_once: int = 8
+    hold_s: float = 2.0  # that one without an answer keeps its place: others wait behind it
     wholes_per_s: int = 20
     followers_most: int = 600
     full_after_ms: int = 5_000
@@ -58,21 +59,22 @@
 
 @dataclass(slots=True)
 class _Ration:
-    """Snapshots out, and when the last ones were begun."""
+    """Snapshots out by conn with when each was begun, and when the last ones were. µs."""
 
     at_once: int
     per_s: int
-    out: int = 0
+    hold: int
+    out: dict[int, int] = field(default_factory=dict)
     starts: deque[int] = field(default_factory=deque)
 
-    def free_at(self, now: int) -> int | None:
-        """When the next may begin; None: once one that is out has been answered."""
-        if self.out >= self.at_once:
-            return None
-        return now if len(self.starts) < self.per_s else max(now, self.starts[0] + 1_000_000)
+    def free_at(self, now: int) -> int:
+        """When the next may begin: once one that is out has been answered, or has kept its place for long."""
+        held = [at + self.hold for at in self.out.values() if at + self.hold > now]
+        place = now if len(held) < self.at_once else min(held)
+        return place if len(self.starts) < self.per_s else max(place, self.starts[0] + 1_000_000)
 
-    def begin(self, now: int) -> None:
-        self.out += 1
+    def begin(self, now: int, conn: int) -> None:
+        self.out[conn] = now
         self.starts.append(now)
         if len(self.starts) > self.per_s:
             self.starts.popleft()
@@ -91,7 +93,7 @@
         self.followers: dict[int, _Follower] = {}
         self.names: dict[str, int] = {}  # name -> conn
         self.waiting: deque[int] = deque()  # conns that a snapshot is due to, first come first
-        self.ration = _Ration(limits.wholes_at_once, limits.wholes_per_s)
+        self.ration = _Ration(limits.wholes_at_once, limits.wholes_per_s, round(limits.hold_s * 1e6))
         self.primary_name = ""
         self.primary_at: int | None = None
         self._changed: set[str] = set()  # names since the last `seen`
@@ -204,7 +206,7 @@
         f.sent = None
         if f.whole_out:
             f.whole_out = False
-            self.ration.out -= 1
+            del self.ration.out[f.conn]
 
     def _feed(self, now: int, f: _Follower) -> None:
         """Send a broker what follows what it holds, unless something is out or due to it already."""
@@ -252,7 +254,7 @@
             # Guards against a history that was put back behind the broker while it stood in line.
             if self._ahead(now, f) or not self.history.state.version:
                 continue
-            self.ration.begin(now)
+            self.ration.begin(now, f.conn)
             state, f.whole_out = self.history.state, True
             self._send(now, f, Whole(self.history.packed()), (state.epoch, state.version, state.digest))
 
--- a/tests/test_controlplane_follow.py
+++ b/tests/test_controlplane_follow.py
@@ -151,7 +151,7 @@
     beats = [b for b in desk.sent[2] if isinstance(b, m.Beat)]
     assert desk.ended[1].why == "silent" and 2 not in desk.ended and 10 <= len(beats) <= 12
     assert beats[-1].primary == "c3" and beats[-1].silent_ms >= 9_000
-    assert desk.publisher.ration.out == 0
+    assert not desk.publisher.ration.out
 
 
 def test_publisher_rations_snapshots_in_line():
@@ -172,6 +172,19 @@
     assert desk.whole(5) and not desk.publisher.waiting
 
 
+def test_publisher_lets_newcomers_past_those_that_never_answer():
+    desk = Desk(wholes_at_once=2, hold_s=1.0)
+    for conn in range(3):
+        desk.hello(conn)
+    assert [desk.whole(conn) for conn in range(3)] == [True, True, False]
+    assert desk.publisher.tick(S - 100_000) <= S  # it wakes for it
+    assert not desk.whole(2)
+    desk.publisher.tick(S)
+    assert desk.whole(2) and len(desk.publisher.ration.out) == 3
+    desk.publisher.tick(11 * S)
+    assert not desk.publisher.ration.out  # ended as silent, and counted once
+
+
 def test_publisher_behind_a_broker_waits_and_says_so_once():
     desk = Desk()
     ahead = Desk(versions=5)
@@ -604,5 +617,5 @@
     assert all(b.state.snapshot() == world.truth.snapshot() for b in world.brokers)
     held = {name: v for site in world.sites for name, (_, v) in site.in_force().items()}
     assert held == {f"b{i}": want[1] for i in range(4)}
-    assert sum(site.ration.out for site in world.sites) == 0
+    assert not any(site.ration.out for site in world.sites)
     assert max(b.stale_ms(world.now) for b in world.brokers) <= 42_000
