--- a/cypressledge/lab/capacity_check.py
+++ b/cypressledge/lab/capacity_check.py
@@ -39,11 +39,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Loss:
-    """A primary that the harness took away at `at`, µs. `who` empty: all control processes."""
+    """A primary that the harness took away at `at`, µs. `who` empty: all control processes, of which the
+    last was gone at `gone`: what one of them wrote in between is no sign of the next primary."""
 
     at: int
     who: str
     kind: str
+    gone: int = 0
 
 
 @dataclass(slots=True)
@@ -259,7 +261,7 @@
     """From each loss to the first sign of another primary: its own record or what it acknowledged."""
     signs = sorted((r["at"], r["who"]) for r in controls if r["event"] in ("primary", "acknowledged"))
     for loss in seen.losses:
-        after = next((at for at, who in signs if at > loss.at and who != loss.who), seen.over)
+        after = next((at for at, who in signs if at > max(loss.at, loss.gone) and who != loss.who), seen.over)
         verdict.primary_over.append(((after - loss.at) / 1e6, loss.kind))
 
 
--- a/cypressledge/lab/capacity_play.py
+++ b/cypressledge/lab/capacity_play.py
@@ -268,9 +268,10 @@
             self.world.by_name[name].signal(signal.SIGCONT)
 
     def _all_control_processes_restarted(self, event: Event) -> None:
-        self._lost("", event.kind)
+        began = now()
         for c in self.world.controls:
             c.kill()
+        self.losses.append(Loss(began, "", event.kind, now()))
         gevent.sleep(event.span)
         for c in self.world.controls:
             c.start()
--- a/tests/test_capacity_check.py
+++ b/tests/test_capacity_check.py
@@ -159,6 +159,12 @@
     assert cc.check(WHOLE, [*HISTORY, control(12, "primary")], told).primary_over == [(2.0, "all")]
 
 
+def test_the_last_words_before_all_are_gone_are_no_sign():
+    told = seen(ACKED, losses=[cc.Loss(10 * S, "", "all", round(10.2 * S))])
+    records = [*HISTORY, control(10.1, "acknowledged", 5), control(12, "primary")]
+    assert cc.check(WHOLE, records, told).primary_over == [(2.0, "all")]
+
+
 def test_too_little_is_said():
     found = cc.too_little(cc.check([], [], seen([])), seen([]), 10, 30)
     words = " ".join(found)
