Control plane: a broker tries all servers in a row, and leaves one that hears no primary

Cause: follower.py doubled its span at each refused dial, so one round over eight dead addresses reached 5 s. Now a round is made at once, and the span between rounds doubles. Read: a broker stayed with a control process that is cut off from the others; now it tries another after 10 s without a primary, ever more seldom.

--- a/cypressledge/controlplane/follower.py
+++ b/cypressledge/controlplane/follower.py
@@ -21,10 +21,14 @@
 
 CONNECT = 1_500_000  # µs for a TCP connection
 SILENT = 3_500_000  # µs without a frame, after which another one is followed
-SPAN, SPAN_MOST = 100_000, 5_000_000  # µs: of the wait before a reconnect a random part is taken
+SPAN = 100_000  # µs, a random part of it: between the tries of one round of all servers
+SPAN_MOST = 5_000_000  # µs, a random part of it at the most: between rounds, doubling from SPAN
 STEADY = 5_000_000  # µs: a connection that held so long makes the spans begin again
 HOME = (20_000_000, 40_000_000)  # µs until a nearer one is tried
 HOME_DOUBLINGS = 3  # of that while the nearer ones don't take us
+STALE_MS = 10_000  # without a word of a primary, longer than a change of primary takes: another one is tried
+STALE_AGAIN = (10_000_000, 20_000_000)  # µs until the next such try, doubling: all may be cut off alike
+STALE_AWAY = 60_000_000  # µs that a stale one is no home
 AFTER_MOST = 60_000_000  # µs that a refusal may keep a broker away
 NEVER = 3_600_000_000  # µs until the next tick where nothing is due
 
@@ -88,6 +92,8 @@
         self._primary_at: int | None = None
         self._primary = ""
         self._differed = -1  # version at which a Beat's digest differed
+        self._stale: dict[int, int] = {}  # server -> µs until which it is no home
+        self._stale_tries = self._stale_at = 0
 
     def tick(self, now: int) -> int:
         """What time brings about; when to call again, µs."""
@@ -176,6 +182,18 @@
             if self._differed != state.version:  # guards against a log line a second
                 self._differed = state.version
                 self._count("digest_differs", epoch=beat.epoch, version=beat.version)
+        self._look_elsewhere(now, beat)
+
+    def _look_elsewhere(self, now: int, beat: Beat) -> None:
+        """Guards against a control process that is cut off from the others while they can be reached."""
+        if 0 <= beat.silent_ms < STALE_MS:
+            self._stale_tries = 0
+        elif len(self.servers) > 1 and now - self._at >= STALE_MS * 1000 and now >= self._stale_at:
+            low, high = STALE_AGAIN
+            self._stale_at = now + (low + self._part(high - low) << self._stale_tries)
+            self._stale_tries = min(self._stale_tries + 1, HOME_DOUBLINGS)
+            self._stale[self.current] = now + STALE_AWAY
+            self._leave(now, "stale")
 
     def _deltas(self, changes: list[Change]) -> None:
         """Take what follows; one answer in any case."""
@@ -261,8 +279,11 @@
             self._home_fails = min(self._home_fails + 1, HOME_DOUBLINGS)
             self._at = now + self._part(SPAN)
             return
-        wait = self._part(min(SPAN << self._failures, SPAN_MOST))
-        self._failures = min(self._failures + 1, 10)
+        # All servers in a row, then a pause: guards against a span that grows while most are down, which would
+        # put off the one that is up.
+        rounds, within = divmod(self._failures, len(self.servers))
+        wait = self._part(SPAN if within else min(SPAN << min(rounds, 10), SPAN_MOST))
+        self._failures += 1
         self._next(now, wait)
 
     def _next(self, now: int, wait: int) -> None:
@@ -283,7 +304,8 @@
 
     def _go_home(self, now: int) -> None:
         """One try at a nearer one; what is held stays, and where it fails we come back."""
-        nearer = [i for i in range(self.current) if self._not_before.get(i, 0) <= now]
+        away = (self._not_before, self._stale)
+        nearer = [i for i in range(self.current) if all(until.get(i, 0) <= now for until in away)]
         if not nearer:
             return self._plan_home(now)
         self.end("home")
--- a/tests/test_controlplane_follow.py
+++ b/tests/test_controlplane_follow.py
@@ -619,3 +619,54 @@
     assert held == {f"b{i}": want[1] for i in range(4)}
     assert not any(site.ration.out for site in world.sites)
     assert max(b.stale_ms(world.now) for b in world.brokers) <= 42_000
+
+
+def outage(seat: Seat, until: int) -> list[tuple[int, str]]:
+    """Refuse each try until then; when each was made, and at whom."""
+    now, made = 0, []
+    while now < until:
+        now = max(now, seat.follower.tick(now))
+        if len(seat.tried) > len(made):
+            made.append((now, seat.tried[-1].name))
+            seat.follower.down(now, "refused")
+    return made
+
+
+def test_follower_tries_all_in_a_row_and_rests_between_rounds():
+    seat = Seat(servers=8)
+    made = outage(seat, 60 * S)
+    names = [name for _, name in made]
+    assert names == ([s.name for s in seat.follower.servers] * len(names))[:len(names)]
+    waits = [b - a for (a, _), (b, _) in zip(made, made[1:], strict=False)]
+    within = [w for i, w in enumerate(waits) if (i + 1) % 8]
+    between = waits[7::8]
+    assert max(within) <= 100_000  # the one that is up is found within a second
+    assert all(w <= min(100_000 << (i + 1), 5 * S) for i, w in enumerate(between))
+    assert max(between) > S and len(made) < 8 * 40  # and those that are down are not stormed
+
+
+def test_follower_leaves_a_server_that_hears_no_primary():
+    seat, left = Seat(servers=3).greet(), []
+    stale = m.Beat(0, 0, b"", "c1", 11_000)
+    now = seat.now
+    while now < 100 * S:
+        now += S
+        seat.follower.tick(now)
+        if seat.follower.phase.value == "connecting":
+            seat.follower.up(now)
+            seat.follower.received(now, m.Welcome("c", 1, "line"))
+        seat.follower.received(now, stale if now < 80 * S else m.Beat(0, 0, b"", "c1", 100))
+        if seat.ended.count("stale") > len(left):
+            left.append((now, seat.tried[-1].name))
+    assert left[0][0] - seat.now >= 10 * S and left[0][1] == "c0"
+    gaps = [b[0] - a[0] for a, b in zip(left, left[1:], strict=False)]
+    assert len(left) >= 2 and gaps == sorted(gaps) and gaps[0] >= 10 * S  # ever more seldom: all may be alike
+    assert all(at < 81 * S for at, _ in left)
+
+
+def test_follower_of_one_server_or_of_a_fresh_one_stays():
+    for servers, silent in ((1, 60_000), (3, 9_000)):
+        seat = Seat(servers=servers).greet()
+        for second in range(1, 15):
+            seat.follower.received(seat.now + second * S, m.Beat(0, 0, b"", "c1", silent))
+        assert not seat.ended
