--- a/cypressledge/controlplane/follower.py
+++ b/cypressledge/controlplane/follower.py
@@ -279,11 +279,11 @@
             self._home_fails = min(self._home_fails + 1, HOME_DOUBLINGS)
             self._at = now + self._part(SPAN)
             return
-        # All servers in a row, then a pause: guards against a span that grows while most are down, which would
-        # put off the one that is up.
-        rounds, within = divmod(self._failures, len(self.servers))
-        wait = self._part(SPAN if within else min(SPAN << min(rounds, 10), SPAN_MOST))
+        # All servers in a row, then a pause: guards against a span that grows while most are down, and puts
+        # off the one that is up.
         self._failures += 1
+        rounds, within = divmod(self._failures, len(self.servers))
+        wait = self._part(SPAN if within else min(SPAN << min(rounds - 1, 10), SPAN_MOST))
         self._next(now, wait)
 
     def _next(self, now: int, wait: int) -> None:
--- a/tests/test_controlplane_follow.py
+++ b/tests/test_controlplane_follow.py
@@ -625,10 +625,12 @@
     """Refuse each try until then; when each was made, and at whom."""
     now, made = 0, []
     while now < until:
-        now = max(now, seat.follower.tick(now))
+        due = seat.follower.tick(now)
         if len(seat.tried) > len(made):
             made.append((now, seat.tried[-1].name))
             seat.follower.down(now, "refused")
+            due = seat.follower.tick(now)
+        now = max(now, due)
     return made
 
 
