Control plane: a broker that turns settings down is named, and not in force

Need: a broker whose own process refuses new settings (its file has other classes, say) answered Have and was counted as having them in force, so `control change` ended with 0 over it.

Change: Have and Hello say why (`refused`, one line of 200 characters at most, a last field with a default, so releases read each other); the follower takes it from what its state was given to. Publisher, Seen, InForce and /control/lag carry it; a Seen gives 500 reasons at most, so 20,000 refusals fit in a frame. `control lag` and `control change` name who refused and end with 1. The part keeps refusals by kind of key: settings that come back to what is in force end one, and an engine list is taken where settings were refused.

A refusal that SIGHUP would mend stands until the next change of config or a restart, as before.

--- a/cypressledge/controlplane/agent.py
+++ b/cypressledge/controlplane/agent.py
@@ -27,13 +27,14 @@
 class FollowerAgent:
     """Follows the control plane for one broker. `run`: the broker's run, never 0; `fleet_address`: HOST:PORT
     of its fleet socket, empty where it is not to be registered. `changed(state, change)` is called by the
-    agent's greenlet once a newer state is in force (no change: it came as a snapshot). `record`: for the
-    laboratory, a file of what was in force when.
+    agent's greenlet once a newer state is held (no change: it came as a snapshot); it answers why some of it
+    was turned down, nothing where all is in force. `record`: for the laboratory, a file of what was in force
+    when.
 
     Spawn what `parts` names; `stop` ends it."""
 
     def __init__(self, name: str, run: int, settings: ControlSettings, zone: str, region: str,
-                 fleet_address: str, changed: Callable[[FleetState, Change | None], None],
+                 fleet_address: str, changed: Callable[[FleetState, Change | None], str | None],
                  counters: Counters, record: str = "", log=None, seed: int | None = None) -> None:
         self.name, self.run, self.changed, self.counters = name, run, changed, counters
         self.clock, self.traffic = LeaseClock(), Traffic()
@@ -125,9 +126,10 @@
             self.frames.close()
             self.frames = None
 
-    def _changed(self, state: FleetState, change: Change | None) -> None:
-        self.changed(state, change)
+    def _changed(self, state: FleetState, change: Change | None) -> str | None:
+        refused = self.changed(state, change)
         self._note("in_force")
+        return refused
 
     def _event(self, event: str, **what) -> None:
         self.counters.add(f"control.{event}")
--- a/cypressledge/controlplane/cli.py
+++ b/cypressledge/controlplane/cli.py
@@ -1,7 +1,7 @@
 """The operators' commands of the control plane (click): `cypressledge control …`. Exit codes of `change`:
 
-0: taken, and in force at every broker that is connected; 1: taken, but some brokers lag, or it isn't known
-whether it was taken: ask again under the same request name; 2: refused, and nothing has changed.
+0: taken, and in force at every broker that is connected; 1: taken, but some brokers lag or turn it down, or
+it isn't known whether it was taken: ask again under the same request name; 2: refused, nothing has changed.
 """
 
 import http.client
@@ -170,7 +170,7 @@
 @at_control
 @click.option("--version", default=0, type=click.IntRange(0), help="The newest where none is named.")
 def lag(at: tuple[Address, ...], version: int) -> None:
-    """Who has not a version in force yet. Exit code 1 where anybody lags."""
+    """Who has not a version in force yet. Exit code 1 where anybody lags or turns it down."""
     try:
         code, told = Primary(at, time.monotonic() + CHANGE_S).ask("GET", f"/control/lag?version={version}")
     except NoAnswer as err:
@@ -178,14 +178,23 @@
     if code != 200:
         raise click.ClickException(told.get("why") or f"HTTP {code}")
     say_lag(told)
-    sys.exit(1 if told["lagging"] or told["unheard"] else 0)
+    sys.exit(exit_code(told))
+
+
+def exit_code(told: dict) -> int:
+    """0 where a version is known to be in force at every connected broker."""
+    return 1 if told["lagging"] or told["unheard"] or told.get("refused") else 0
 
 
 def say_lag(told: dict) -> None:
-    """Who lags, and who can't be reached, in two lines."""
+    """Who lags, who turned it down, and who can't be reached, a line each."""
     lagging, away = told["lagging"], told["unreachable"]
     click.echo(f"version {told['version']}: in force at {told['in_force']} of {told['connected']} brokers"
                + (f"; {lagging} lag: {' '.join(told['names'])}" if lagging else ""))
+    if told.get("refused"):  # a primary of the release before doesn't know who
+        named = [f"{name}: {why}" for name, why in told["refused_by"].items()]
+        more = told["refused"] - len(named)
+        click.echo("refused by: " + "; ".join(named + ([f"and {more} more"] if more else [])))
     if told["unheard"]:
         click.echo(f"{' '.join(told['unheard'])} have not said yet who is connected to them")
     if away:
@@ -231,8 +240,8 @@
            dry_run: bool) -> None:
     """Change configuration, engines or brokers (FILE.yaml: config, engines, brokers; null removes).
 
-    Exit code 0: taken, and in force at every connected broker. 1: taken, but some lag after the wait, or not
-    known: repeat it under the same --request. 2: refused, nothing changed."""
+    Exit code 0: taken, and in force at every connected broker. 1: taken, but some lag after the wait or have
+    turned it down, or not known: repeat it under the same --request. 2: refused, nothing changed."""
     ops = read_ops(file)
     request = request or f"{os.environ.get('USER', 'operator')}-{uuid.uuid4().hex[:12]}"
     try:
@@ -274,4 +283,4 @@
         click.echo("not known who lags", err=True)
         return 1
     say_lag(told)
-    return 1 if told["lagging"] or told["unheard"] else 0
+    return exit_code(told)
--- a/cypressledge/controlplane/follower.py
+++ b/cypressledge/controlplane/follower.py
@@ -14,7 +14,8 @@
 
 from cypressledge.controlplane.history import unpack
 from cypressledge.controlplane.messages import (
-    FORMAT, Beat, Change, Deltas, Goodbye, Have, Hello, Message, Snapshot, Welcome, Whole, WholeWanted)
+    FORMAT, Beat, Change, Deltas, Goodbye, Have, Hello, Message, Snapshot, Welcome, Whole, WholeWanted,
+    one_line)
 from cypressledge.controlplane.state import FleetState, StateError
 from cypressledge.counters import Counters
 from cypressledge.fleet.ranks import weight
@@ -60,12 +61,13 @@
 class Follower:
     """Follows one control process. `out(message)`; `connect(server)`: answered by `up` or `down`;
     `end(why)`: close the connection, of which nothing may be told any more; `changed(state, change)` after
-    each change taken (None: a snapshot); `event(name, **what)`: to be logged, counted here. `lineage`: the
-    only one to be taken; empty: that of the first snapshot."""
+    each change taken (None: a snapshot), which answers why some of it was turned down, if it was;
+    `event(name, **what)`: to be logged, counted here. `lineage`: the only one to be taken; empty: that of the
+    first snapshot."""
 
     def __init__(self, name: str, run: int, servers: list[Server], zone: str, region: str, seed: int,
                  address: str, out: Callable[[Message], None], connect: Callable[[Server], None],
-                 end: Callable[[str], None], changed: Callable[[FleetState, Change | None], None],
+                 end: Callable[[str], None], changed: Callable[[FleetState, Change | None], str | None],
                  event: Callable[..., None], lineage: str = "") -> None:
         self.name, self.run, self.address, self.zone, self.region = name, run, address, zone, region
         self.servers = order(name, zone, region, servers)
@@ -73,6 +75,7 @@
         self.lineage = lineage
         self.counters = Counters()
         self.state = FleetState()  # of no lineage while nothing is held
+        self.refused = ""  # why some of it is not in force
         self.phase = Phase.WAITING
         self.current = 0  # index into servers: whom we follow or try
         self._random = random.Random(seed)
@@ -121,7 +124,8 @@
         self.phase, self._at, self._heard = Phase.GREETING, now, now
         state = self.state
         self.out(Hello(FORMAT, "broker", self.name, self.run, state.lineage, state.epoch, state.version,
-                       state.digest if state.lineage else b"", self.address, self.zone, self.region))
+                       state.digest if state.lineage else b"", self.address, self.zone, self.region,
+                       self.refused))
 
     def down(self, now: int, why: str) -> None:
         """The connection has ended, or could not be made."""
@@ -234,13 +238,13 @@
         after = self.state.position
         self.counters.invariant(after[0] >= before[0] and after[1] >= before[1], "never_back")
         self.counters.add("wholes_taken" if change is None else "changes_taken")
-        self.changed(self.state, change)
+        self.refused = one_line(self.changed(self.state, change) or "")
 
     def _turn_down(self, epoch: int, version: int) -> None:
         self._count("turned_down", epoch=epoch, version=version, own=self.state.position)
 
     def _have(self) -> None:
-        self.out(Have(self.state.epoch, self.state.version, self.state.digest))
+        self.out(Have(self.state.epoch, self.state.version, self.state.digest, self.refused))
 
     def _connect(self, now: int) -> None:
         self.phase, self._at, self._home_at = Phase.CONNECTING, now, None
--- a/cypressledge/controlplane/lag.py
+++ b/cypressledge/controlplane/lag.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
+from itertools import islice
 
 from cypressledge.controlplane.messages import Seen
 
@@ -14,11 +15,12 @@
 
 @dataclass(slots=True)
 class Sight:
-    """What one broker has in force, said at a moment (µs)."""
+    """What one broker holds, said at a moment (µs); `refused`: why some of it is not in force there."""
 
     run: int
     version: int
     at: int
+    refused: str = ""
 
 
 class InForce:
@@ -38,7 +40,7 @@
             if version < 0:
                 brokers.pop(name, None)
             else:
-                brokers[name] = Sight(run, version, now)
+                brokers[name] = Sight(run, version, now, seen.refused.get(name, ""))
 
     def drop(self, sender: str) -> None:
         """A control process can't be heard: what it said may no longer be so."""
@@ -59,12 +61,17 @@
 
     def lag(self, version: int, registered: Collection[str], alive: Collection[str]) -> dict:
         """How many connected brokers have not that version yet, and their names, `NAMES_MOST` at most; apart
-        from them those that are registered but connected nowhere. `unheard`: control processes that are alive
-        but have not yet said who is connected to them: until they have, nobody knows who lags."""
+        from them those that hold it but have turned some of it down, and why, and those that are registered
+        but connected nowhere. `unheard`: control processes that are alive but have not yet said who is
+        connected to them: until they have, nobody knows who lags."""
         newest = self.newest()
         behind = sorted(name for name, sight in newest.items() if sight.version < version)
+        refused = {name: sight.refused for name, sight in sorted(newest.items())
+                   if sight.refused and sight.version >= version}
         away = sorted(name for name in registered if name not in newest)
-        return {"version": version, "connected": len(newest), "in_force": len(newest) - len(behind),
+        return {"version": version, "connected": len(newest),
+                "in_force": len(newest) - len(behind) - len(refused),
+                "refused": len(refused), "refused_by": dict(islice(refused.items(), NAMES_MOST)),
                 "lagging": len(behind), "names": behind[:NAMES_MOST], "registered": len(registered),
                 "unreachable": len(away), "unreachable_names": away[:NAMES_MOST],
                 "unheard": sorted(set(alive) - set(self.told))}
--- a/cypressledge/controlplane/messages.py
+++ b/cypressledge/controlplane/messages.py
@@ -14,6 +14,7 @@
 OPS_MOST = 2_000  # keys that one change may touch
 CHANGE_MOST = 512 << 10  # bytes of one change
 DELTA_BYTES = 128 << 10  # of changes in one Deltas or Append, but for a single larger change
+REFUSED_MOST = 200  # characters of why a broker has turned settings down
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -66,8 +67,8 @@
 # Every connection
 
 class Hello(Message, frozen=True, tag="hello"):
-    """First frame of whoever connects. `role`: control, broker. A broker says where it is and what it holds.
-    """
+    """First frame of whoever connects. `role`: control, broker. A broker says where it is, what it holds, and
+    why it has turned that down (see Have)."""
 
     format: int
     role: Literal["control", "broker"]
@@ -80,6 +81,7 @@
     address: str = ""  # a broker's fleet socket, HOST:PORT; empty: it is not to be registered
     zone: str = ""
     region: str = ""
+    refused: str = ""
 
 
 class Welcome(Message, frozen=True, tag="welcome"):
@@ -126,11 +128,13 @@
 # Brokers to control processes
 
 class Have(Message, frozen=True, tag="have"):
-    """What the broker has in force now. Also the leave to send the next Deltas: one is out at a time."""
+    """What the broker holds now. Also the leave to send the next Deltas: one is out at a time. `refused`: why
+    the broker's own process has turned some of it down, one short line; empty: all of it is in force."""
 
     epoch: int
     version: int
     digest: bytes
+    refused: str = ""
 
 
 class WholeWanted(Message, frozen=True, tag="wholewanted"):
@@ -219,11 +223,13 @@
 
 
 class Seen(Message, frozen=True, tag="seen"):
-    """A control process tells the primary what its brokers have in force: changed ones only; all of them
-    first after a connection (`all`). Version -1: no longer connected here."""
+    """A control process tells the primary what its brokers hold: changed ones only; all of them first after a
+    connection (`all`). Version -1: no longer connected here. `refused`: of those that are named, who has
+    turned that version down, and why."""
 
     all: bool
     brokers: list[tuple[str, int, int]]  # name, run, version
+    refused: dict[str, str] = {}
 
 
 class Register(Message, frozen=True, tag="register"):
@@ -239,6 +245,13 @@
 _decode = msgspec.msgpack.Decoder(Messages).decode
 
 
+def one_line(text: str) -> str:
+    """Why settings were turned down, fit to be sent and shown: guards against text without end, and against
+    what would steer an operator's terminal."""
+    words = " ".join(text[:4 * REFUSED_MOST].split())
+    return "".join(c if c.isprintable() else "?" for c in words)[:REFUSED_MOST]
+
+
 class Unreadable(Exception):
     """A frame that is no message; its connection ends."""
 
--- a/cypressledge/controlplane/part.py
+++ b/cypressledge/controlplane/part.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+from collections.abc import Callable
 
 from cypressledge.config import ConfigError, address
 from cypressledge.contract import State
@@ -28,7 +29,7 @@
         settings, name = read_control(file), broker.config.name
         self.fleet = broker.fleet
         self.run = new_run() if self.fleet is None else self.fleet.node.run_id
-        self.refused = ""  # why the newest settings are not in force
+        self.refusals: dict[str, str] = {}  # by kind of key: why the newest of that kind is not in force
         self.agent = FollowerAgent(name, self.run, settings, *self._place(env), self._changed, self.counters,
                                    settings.lab.record)
         self.parts = self.agent.parts
@@ -45,6 +46,11 @@
         regions = (r.name for r in self.fleet.told.regions if zone in r.zones)
         return zone, region or next(regions, ""), own.address
 
+    @property
+    def refused(self) -> str:
+        """Why some of the newest state is not in force; empty: all of it is."""
+        return "; ".join(self.refusals.values())
+
     def stop(self) -> None:
         """The broker stops."""
         self.agent.stop()
@@ -57,31 +63,32 @@
 
     # What a new state brings
 
-    def _changed(self, state: FleetState, change: Change | None) -> None:
-        """Take what differs; `change` is None for a whole state."""
-        kinds = {"config", "engine", "broker"} if change is None else {
-            op.key.partition("/")[0] for op in change.ops}
+    def _changed(self, state: FleetState, change: Change | None) -> str:
+        """Take what differs; `change` is None for a whole state. Why some of it is not in force."""
+        touched = None if change is None else {op.key.partition("/")[0] for op in change.ops}
+        for kind, take in (("config", lambda: self._settings(state.config())),
+                           ("engine", lambda: self._engines(state.engines())),
+                           ("broker", self.name_peers)):
+            if touched is None or kind in touched:
+                self._take(kind, take)
+        return self.refused
+
+    def _take(self, kind: str, take: Callable[[], None]) -> None:
+        """One kind of key. The control processes check what they take; an older one may not have."""
         try:
-            if "config" in kinds:
-                self._settings(state.config())
-            if "engine" in kinds:
-                self._engines(state.engines())
-            if "broker" in kinds:
-                self.name_peers()
-        except StateError as err:  # the control processes check what they take; an older one may not have
-            self._refuse(str(err))
+            take()
+        except (ConfigError, StateError) as err:
+            self._refuse(kind, str(err))
+        else:
+            self.refusals.pop(kind, None)
 
     def _settings(self, sections: dict) -> None:
-        if sections == self.broker.sections:
-            return
-        try:
+        """Raises `ConfigError` where the broker's process turns them down."""
+        if sections != self.broker.sections:
             self.broker.take_sections(sections)
-            self.refused = ""
-        except ConfigError as err:
-            self._refuse(str(err))
 
-    def _refuse(self, why: str) -> None:
-        self.refused = why
+    def _refuse(self, kind: str, why: str) -> None:
+        self.refusals[kind] = why
         self.counters.add("control.refused")
         log(f"control: what was in force stays: {why}")
 
--- a/cypressledge/controlplane/publisher.py
+++ b/cypressledge/controlplane/publisher.py
@@ -7,16 +7,18 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from cypressledge.controlplane.history import History
 from cypressledge.controlplane.messages import (
-    FORMAT, Beat, Deltas, Goodbye, Have, Hello, Message, Op, Seen, Welcome, Whole, WholeWanted)
+    FORMAT, Beat, Deltas, Goodbye, Have, Hello, Message, Op, Seen, Welcome, Whole, WholeWanted,
+    one_line)
 from cypressledge.controlplane.state import KEY, Broker, FleetState, StateError, canonical, place_of
 from cypressledge.counters import Counters
 
 Position = tuple[int, int, bytes]  # epoch, version, digest
+REASONS_MOST = 500  # refusals in one Seen that say why: guards against more than a frame holds
 STEP = 50_000  # µs between ticks at least: guards against one wake for each broker's beat
 
 
@@ -52,6 +54,7 @@
     wants_whole: bool = False
     queued: bool = False
     refused: tuple[int, int] | None = None  # our position of a snapshot that it did not take
+    refusal: str = ""  # why its process has turned down some of what it holds
     ahead_since: int | None = None
     ahead_told: bool = False
 
@@ -109,7 +112,8 @@
         if len(self.followers) >= self.limits.followers_most:
             return self._refuse(conn, hello.name, Goodbye("full", self.limits.full_after_ms))
         follower = _Follower(conn, hello.name, hello.run, hello.lineage,
-                             (hello.epoch, hello.version, hello.digest), self._register(hello), now)
+                             (hello.epoch, hello.version, hello.digest), self._register(hello), now,
+                             refusal=one_line(hello.refused))
         self.followers[conn], self.names[hello.name] = follower, conn
         self._changes(hello.name)
         self.out(conn, Welcome(self.name, self.run, self.history.state.lineage))
@@ -124,7 +128,7 @@
             return
         # Each of both answers one message: guards against a broker that claims leave for many.
         if isinstance(message, Have) and follower.sent is not None:
-            self._have(follower, (message.epoch, message.version, message.digest))
+            self._have(follower, (message.epoch, message.version, message.digest), one_line(message.refused))
         elif isinstance(message, WholeWanted) and follower.sent is not None and not follower.whole_out:
             follower.sent, follower.wants_whole = None, True
             self.event("whole_wanted", broker=follower.name, why=message.why[:40])
@@ -184,12 +188,13 @@
         f.beat_at = now
         self.out(f.conn, Beat(state.epoch, state.version, state.digest, self.primary_name, silent))
 
-    def _have(self, f: _Follower, position: Position) -> None:
+    def _have(self, f: _Follower, position: Position, refusal: str) -> None:
         """An answer: what the broker holds after the message that was out."""
         sent, was_whole = f.sent, f.whole_out
         self._answered(f)
-        if position[:2] != f.position[:2]:
+        if (*position[:2], refusal) != (*f.position[:2], f.refusal):
             self._changes(f.name)
+        f.refusal = refusal
         if was_whole and position[1]:
             f.lineage = self.history.state.lineage
         # Guards against sending the same again and again to one who turns it down.
@@ -299,17 +304,26 @@
         return op
 
     def in_force(self) -> dict[str, tuple[int, int]]:
-        """(run, version) of each connected broker."""
+        """(run, version) of each connected broker: in force there but for what `refusals` says."""
         return {f.name: (f.run, f.position[1]) for f in self.followers.values()}
 
+    def refusals(self, names: Iterable[str]) -> dict[str, str]:
+        """Who of them has turned down some of what it holds, and why, the latter for `REASONS_MOST`."""
+        found = {}
+        for name in names:
+            f = self.followers.get(self.names.get(name))
+            if f is not None and f.refusal:
+                found[name] = f.refusal if len(found) < REASONS_MOST else "refused"
+        return found
+
     def seen(self, all: bool) -> Seen | None:
-        """What has changed of `in_force` since the last call, or all of it; None: nothing."""
+        """What has changed of `in_force` and `refusals` since the last call, or all of it; None: nothing."""
         now, all = self.in_force(), all or self._all
-        names = now if all else self._changed
-        told = [(name, *now.get(name, (0, -1))) for name in sorted(names)]
+        names = sorted(now if all else self._changed)
+        told = [(name, *now.get(name, (0, -1))) for name in names]
         self._changed.clear()
         self._all = False
-        return Seen(all, told) if told or all else None
+        return Seen(all, told, self.refusals(names)) if told or all else None
 
     def registrations(self, state: FleetState) -> list[Op]:
         """Changes for connected brokers that the state has at another place, or not at all. Each should be
--- a/tests/test_controlplane_follow.py
+++ b/tests/test_controlplane_follow.py
@@ -5,6 +5,7 @@
 import random
 from collections import defaultdict
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -131,6 +132,52 @@
     assert desk.ended[4].why == "stopping" and desk.publisher.seen(True) == m.Seen(True, [])
 
 
+def test_publisher_tells_who_turned_settings_down():
+    desk, why = Desk(), "other classes need a restart"
+    desk.hello(1)
+    desk.hello(2, where(desk.history.state), refused=why)  # it was so before it came here
+    assert desk.publisher.seen(False) == m.Seen(False, [("b1", 1, 0), ("b2", 1, 3)], {"b2": why})
+    desk.publisher.received(0, 1, m.Have(*where(desk.history.state), "  a\nlong\x1b[2J" + "x" * 999))
+    told = desk.publisher.seen(False).refused["b1"]
+    assert told.startswith("a long?[2Jxxx") and len(told) == m.REFUSED_MOST == 200  # one line, bounded
+    grow(desk.history)
+    desk.publisher.committed(0)
+    desk.publisher.received(0, 1, m.Have(*where(desk.history.state), "b"))
+    desk.have(2)
+    assert desk.publisher.seen(False) == m.Seen(False, [("b1", 1, 4), ("b2", 1, 4)], {"b1": "b"})
+    assert desk.publisher.seen(True).refused == {"b1": "b"}
+    desk.publisher.gone(0, 1)
+    assert desk.publisher.seen(False) == m.Seen(False, [("b1", 0, -1)], {})
+
+
+def test_refusals_of_a_whole_fleet_fit_in_a_frame():
+    desk, most = Desk(followers_most=20_000), 20_000
+    for conn in range(most):
+        desk.hello(conn, where(desk.history.state), name=f"b{conn:063d}", refused="\u20ac" * 999)
+    seen = desk.publisher.seen(True)
+    assert len(m.encode(seen)) < m.FRAME_MOST and len(seen.refused) == len(seen.brokers) == most
+
+
+def test_words_without_refusals_are_read_by_old_and_new():
+    """A control process or broker of the release before knows no refusals."""
+    assert m.decode(msgspec.msgpack.encode(["have", 1, 2, b"x"])) == m.Have(1, 2, b"x", "")
+    assert m.decode(msgspec.msgpack.encode(["seen", True, [["b", 1, 2]]])) == m.Seen(True, [("b", 1, 2)], {})
+    assert m.decode(msgspec.msgpack.encode(["have", 1, 2, b"x", "why", "later"])).refused == "why"
+
+
+def test_follower_says_what_was_turned_down_until_it_is_taken():
+    desk, seat, why = Desk(), Seat().greet(), [""]
+    seat.follower.changed = lambda state, change: why[0]
+    assert seat.take(m.Whole(desk.history.packed())).refused == ""
+    for why[0] in ("other classes need a restart", ""):
+        held = desk.history.state.version
+        grow(desk.history)
+        assert seat.take(m.Deltas(after(desk.history, held))).refused == why[0]
+        seat.follower.down(seat.now, "closed")
+        hello = seat.greet(seat.now).said[-1]
+        assert (hello.version, hello.refused) == (desk.history.state.version, why[0])
+
+
 def test_publisher_bounds_names_nobody_asks_for():
     desk = Desk(followers_most=1)
     for conn in range(20):
--- a/tests/test_controlplane_parts.py
+++ b/tests/test_controlplane_parts.py
@@ -8,6 +8,7 @@
 from gevent import socket
 
 from cypressledge.config import ConfigError
+from cypressledge.controlplane import cli
 from cypressledge.controlplane import frames as frames_module
 from cypressledge.controlplane.faults import Faults
 from cypressledge.controlplane.frames import Ended, Frames, Traffic
@@ -140,6 +141,36 @@
     assert (told["lagging"], len(told["names"])) == (200, NAMES_MOST)
 
 
+def test_who_turned_a_version_down_has_it_not_in_force():
+    table = InForce()
+    why = "other classes need a restart"
+    table.report(1, "c1", Seen(True, [("b1", 1, 5), ("b2", 1, 4), ("b3", 1, 5)], {"b3": why, "b2": "older"}))
+    told = table.lag(5, (), {"c1"})
+    assert (told["connected"], told["in_force"], told["lagging"], told["refused"]) == (3, 1, 1, 1)
+    assert told["refused_by"] == {"b3": why}  # b2 has yet to say what it does with this version
+    table.report(2, "c1", Seen(False, [("b3", 1, 6)]))
+    told = table.lag(5, (), {"c1"})
+    assert (told["in_force"], told["refused"], told["refused_by"]) == (2, 0, {})
+    many = [(f"x{i}", 1, 9) for i in range(200)]
+    table.report(3, "c1", Seen(True, many, {f"x{i}": why for i in range(99)}))
+    told = table.lag(9, (), {"c1"})
+    assert (told["in_force"], told["refused"], len(told["refused_by"])) == (101, 99, NAMES_MOST)
+
+
+@pytest.mark.parametrize("state, words", [
+    ({}, []), ({"lagging": 1, "names": ["b1"]}, ["1 lag: b1"]),
+    ({"refused": 1, "refused_by": {"b3": "other classes need a restart"}},
+     ["refused by: b3: other classes need a restart"]),
+    ({"refused": 9, "refused_by": {"b3": "x", "b4": "y"}}, ["refused by: b3: x; b4: y; and 7 more"])])
+def test_an_answer_of_who_lags_is_settled_only_where_all_have_it(state, words, capsys):
+    told = {"version": 5, "in_force": 1, "connected": 2, "lagging": 0, "names": [], "unheard": [],
+            "unreachable": 0, "unreachable_names": []}  # as a primary of the release before says it
+    cli.say_lag(told | state)
+    out = capsys.readouterr().out
+    assert all(word in out for word in words) and ("refused" in out) == ("refused" in state)
+    assert cli.exit_code(told | state) == (1 if state else 0)
+
+
 def test_a_change_in_json():
     asked = read_change(json.dumps({
         "base": 3, "request": "r", "who": "me", "why": "so",
--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -99,6 +99,18 @@
     assert (broker.figure("control.refused"), broker.figure("reload_failures")) == (1, 1)
 
 
+def test_a_broker_that_refuses_is_named_and_does_not_count(plane):
+    plane.start()
+    good, bad = plane.broker("n1"), plane.broker("n2", settings={"Classes": SETTINGS["Classes"][:1]})
+    assert in_force(good, 1) and in_force(bad, 1), plane.words()
+    code, words = plane.change({"engines": {"s-1": ENGINE}})  # its settings are still the older ones
+    assert code == 1 and "in force at 1 of 2 brokers" in words, words + plane.words()
+    assert "refused by: n2: other classes need a restart" in words, words
+    code, words, _ = run("control", "lag", *plane.at())
+    assert code == 1 and "refused by: n2: other classes need a restart" in words, words
+    assert plane.change({"config": {name: None for name in SETTINGS}})[0] == 0, plane.words()
+
+
 def test_a_reload_keeps_what_came_from_the_control_plane(plane):
     plane.start()
     engine, other = LabEngine("s-1", "room1"), LabEngine("s-2", "room1")
