Control plane: brokers that are gone leave the registry, and their addresses are free

Need: nothing ever removed `broker/NAME`, and a machine replaced under a new name at a dead one's address was "not registered" until an operator took the old key out.

Change: registration's decisions move from server.py to registry.py (pure, told the time). The primary takes out who was connected nowhere for `forget_s` (control.yaml, 3600; 0: never), one change for all due and at most one a second; and who was connected nowhere for 10 s once another broker is at its address, in the change that registers that one. 10 s: a broker that only changes its control process must not lose its place. Both only while each control process of the settings is linked, alive and has reported; whenever one was not, all absences begin anew, as its brokers may not be back yet. Also mended: two newcomers at one address, nine or more registrations apart, made a change that the state refused whole; what was asked for last is kept for a second only, not for ever.

--- a/cypressledge/controlplane/lag.py
+++ b/cypressledge/controlplane/lag.py
@@ -59,6 +59,13 @@
                     found[name] = sight
         return found
 
+    def connected(self, listed: Collection[str], linked: Collection[str]) -> set[str] | None:
+        """Names of all connected brokers; none unless each listed control process is linked and has spoken:
+        nobody else knows who is connected to it."""
+        if not set(listed) <= set(linked) or not set(listed) <= set(self.told):
+            return None
+        return set(self.newest())
+
     def lag(self, version: int, registered: Collection[str], alive: Collection[str]) -> dict:
         """How many connected brokers have not that version yet, and their names, `NAMES_MOST` at most; apart
         from them those that hold it but have turned some of it down, and why, and those that are registered
--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -23,7 +23,7 @@
 from cypressledge.controlplane.faults import ONCE, VARIABLE, Faults
 from cypressledge.controlplane.frames import HELLO_S, Ended, Frames, Traffic, connect
 from cypressledge.controlplane.history import History
-from cypressledge.controlplane.lag import InForce
+from cypressledge.controlplane.lag import NAMES_MOST, InForce
 from cypressledge.controlplane.learner import Learner
 from cypressledge.controlplane.messages import (
     FORMAT, FRAME_MOST, Append, Change, Goodbye, Hello, Message, Op, Register, Seen, Snapshot, Welcome,
@@ -31,6 +31,7 @@
 )
 from cypressledge.controlplane.operators import Asked, Operators, number
 from cypressledge.controlplane.publisher import Limits, Publisher
+from cypressledge.controlplane.registry import Registry
 from cypressledge.controlplane.replica import Clash, DiskError, NotPrimary, Replica, Ticket
 from cypressledge.controlplane.settings import ControlSettings, ServerSpec, read_control
 from cypressledge.controlplane.state import FleetState, StateError, canonical, check, clashes, plain
@@ -57,8 +58,6 @@
 BACK_OFF = (0.05, 1.0)  # seconds between tries to reach a peer, doubling
 REPORT_US = 200_000  # between words to the primary of what brokers have in force
 REGISTER_US = 100_000  # in which registrations are gathered into one change
-AGAIN_US = 1_000_000  # after which a registration is sent, or proposed, once more
-REGISTER_MOST = 1_000  # keys of one such change
 REST_MS = 5_000  # that a broker stays away while the disk here refuses
 WAIT_US = 5_000_000  # for a change's majority
 QUEUED_MOST, GROWN_MOST = 256 << 20, 64 << 20  # bytes to, and from, all peers and brokers together
@@ -99,8 +98,7 @@
         self.waiting: list[Waiting] = []
         self.in_force, self.news, self.rest_until = InForce(), False, 0
         self.reported, self.report_due, self.report_all = ("", 0), 0, True
-        self.register_due, self.registered = 0, {}  # key -> (value, µs when it was sent on or proposed)
-        self.wanted_ops: dict[str, Op] = {}
+        self.register_due, self.registry = 0, Registry(round(settings.forget_s * 1e6))
         self.history = History(FleetState())
         limits = Limits(followers_most=settings.brokers_most)
         self.publisher = Publisher(name, self.run_id, self.history, limits, self._to_broker, self._end_broker,
@@ -222,8 +220,7 @@
         if event in ("primary", "stepped_down"):
             self._note(event, epoch=what["epoch"], version=what.get("version", 0))
         if event in ("recovering", "stepped_down"):
-            self.wanted_ops.clear()
-            self.registered.clear()
+            self.registry.clear()
             self.in_force.clear()
         if event == "disk_error":
             self._rest()
@@ -272,50 +269,45 @@
         if now < self.register_due:
             return self.register_due
         self.register_due = now + REGISTER_US
-        primary = self.primary
-        for op in self.publisher.registrations(self.history.state):
-            self.wanted_ops[op.key] = op
-        ops = [op for op in self.wanted_ops.values() if self._unsaid(now, op)][:REGISTER_MOST]
-        self.wanted_ops.clear()
-        if not ops or not primary or primary != self.name and primary not in self.links:
-            return self.register_due
+        primary, state = self.primary, self.history.state
+        self.registry.want(self.publisher.registrations(state))
+        ops = self.registry.take(now, state)
         if primary == self.name:
-            ops = self._fitting(ops)
-        self.registered |= {op.key: (op.value, now) for op in ops}
-        if primary != self.name:
+            self._place(now, ops)
+        elif ops and primary in self.links:
+            self.registry.said(now, ops)
             self._to_peer(primary, Register(ops))
-        elif ops:
-            try:
-                self.replica.propose_own(now, ops, "brokers' places", time.time_ns() // 1_000_000)
-            except (NotPrimary, StateError) as err:
-                self._event("not_registered", why=str(err))
         return self.register_due
 
-    def _unsaid(self, now: int, op: Op) -> bool:
-        """Whether a registration is new, or long enough ago to be repeated."""
-        held = self.history.state.entries.get(op.key)
-        if held is not None and held.value == op.value:
-            self.registered.pop(op.key, None)
-            return False
-        value, at = self.registered.get(op.key, (None, 0))
-        return value != op.value or now - at >= AGAIN_US
-
-    def _fitting(self, ops: list[Op]) -> list[Op]:
-        """Those that the state takes. Guards against two brokers at one address holding up the others."""
+    def _place(self, now: int, ops: list[Op]) -> None:
+        """As the primary: register brokers, and take out those that are gone."""
+        registry = self.registry
+        if not ops and not registry.due(now):
+            return
+        registry.look(now, self.replica.tail, self._connected(), ops)
+        registry.said(now, ops)
+        change, refused = registry.fitting(now, self.replica.tail, ops)
+        for why in refused:
+            self._event("not_registered", why=why)
+        self._propose_own(now, change, "brokers' places", "not_registered")
+        self._propose_own(now, registry.forgotten(now, self.replica.tail), "brokers gone", "not_removed")
+
+    def _propose_own(self, now: int, ops: list[Op], what: str, failed: str) -> None:
+        if not ops:
+            return
         try:
-            check(self.replica.tail, ops)
-            return ops
-        except StateError:
-            fitting: list[Op] = []
-        for op in ops:
-            try:
-                check(self.replica.tail, [op])
-                check(self.replica.tail, [*fitting[-8:], op])
-                fitting.append(op)
-            except StateError as err:
-                self.registered[op.key] = (op.value, self.clock.now())
-                self._event("not_registered", why=str(err))
-        return fitting
+            self.replica.propose_own(now, ops, what, time.time_ns() // 1_000_000)
+        except (NotPrimary, StateError) as err:
+            self._event(failed, why=str(err))
+            return
+        removed = [op.key for op in ops if op.value is None]
+        if removed:
+            self._event("brokers_removed", count=len(removed), keys=removed[:NAMES_MOST])
+
+    def _connected(self) -> set[str] | None:
+        """Names of all connected brokers; none while a control process of the settings is out of sight."""
+        linked = self.node.alive() & {self.name, *self.links}
+        return self.in_force.connected([s.name for s in self.settings.servers], linked)
 
     # Brokers
 
@@ -417,7 +409,7 @@
                 self.in_force.report(now, name, message)
         elif isinstance(message, Register):
             if self.replica.role != "standby":
-                self.wanted_ops |= {op.key: op for op in message.ops if op.key.startswith("broker/")}
+                self.registry.want(message.ops)
         else:
             self.replica.receive(now, name, message)
 
@@ -481,7 +473,7 @@
         """A new connection: what was said over the former one may be lost."""
         if name == self.primary:
             self.report_all = True
-            self.registered.clear()
+            self.registry.ask_anew()
 
     # Operators
 
--- a/cypressledge/controlplane/settings.py
+++ b/cypressledge/controlplane/settings.py
@@ -41,7 +41,8 @@
 class ControlSettings(Strict, frozen=True):
     """The whole file. `version`: of the voter set, one higher whenever `votes` changes. `drift_ppm`: how far
     any clock's rate may be from true, parts in a million. `brokers_most`: connections of brokers that one
-    control process takes."""
+    control process takes. `forget_s`: a broker that was connected nowhere for so long leaves the state (0:
+    never)."""
 
     servers: list[ServerSpec]
     version: Annotated[int, msgspec.Meta(ge=1)] = 1
@@ -50,6 +51,7 @@
     drift_ppm: Annotated[int, msgspec.Meta(ge=0, le=200_000)] = 10_000
     grace_s: Annotated[float, msgspec.Meta(ge=0, le=600)] = 10.0
     brokers_most: Annotated[int, msgspec.Meta(ge=1, le=20_000)] = 2_000
+    forget_s: Annotated[float, msgspec.Meta(ge=0, le=1e7)] = 3_600.0
     lab: Lab = Lab()
 
     @property
--- a/tests/controlplane.py
+++ b/tests/controlplane.py
@@ -126,9 +126,9 @@
 
 
 class Plane:
-    """So many control processes, of which `voters` vote; not started yet."""
+    """So many control processes, of which `voters` vote; not started yet. `more`: for their settings."""
 
-    def __init__(self, count=3, voters=3, seed=None):
+    def __init__(self, count=3, voters=3, seed=None, **more):
         self.own = tempfile.TemporaryDirectory(prefix="cypressledge-control-")
         self.folder = Path(self.own.name)
         self.file, self.seed = self.folder / "control.yaml", self.folder / "seed.yaml"
@@ -136,7 +136,7 @@
                     "management": local(), "zone": "room1", "votes": i < voters} for i in range(count)]
         self.record = self.folder / "record.jsonl"
         self.file.write_text(yaml.safe_dump({"servers": servers, "term_s": TERM, "ping_s": 0.2,
-                                             "grace_s": 1.0, "lab": {"record": str(self.record)}}))
+                                             "grace_s": 1.0, "lab": {"record": str(self.record)}} | more))
         self.seed.write_text(yaml.safe_dump(seed or {"config": SETTINGS}))
         self.controls = {s["name"]: Control(self, s) for s in servers}
         self.brokers = {}
--- a/tests/test_controlplane_follow.py
+++ b/tests/test_controlplane_follow.py
@@ -148,6 +148,10 @@
     assert desk.publisher.seen(True).refused == {"b1": "b"}
     desk.publisher.gone(0, 1)
     assert desk.publisher.seen(False) == m.Seen(False, [("b1", 0, -1)], {})
+    desk.hello(3, (1, 4, b"x" * 16))
+    desk.publisher.seen(False)
+    desk.publisher.received(0, 3, m.Have(*where(desk.history.state), why))  # a snapshot of the same version
+    assert desk.publisher.seen(False) == m.Seen(False, [("b3", 1, 4)], {"b3": why})
 
 
 def test_refusals_of_a_whole_fleet_fit_in_a_frame():
--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -1,5 +1,6 @@
 """Control processes, and brokers that follow them, as processes: changes, a dead primary, nobody there."""
 
+import json
 import shutil
 import signal
 import time
@@ -287,6 +288,29 @@
     assert until(lambda: not until(lost, 2.0), WAIT), plane.words()
 
 
+PLACES = {n: local(socket.SOCK_DGRAM) for n in ("n0", "n1", "n2")}
+GONE = {n: {"address": PLACES[of], "zone": "room1"} for n, of in (("old", "n1"), ("older", "n2"))}
+
+
+@pytest.mark.parametrize("plane", [{"seed": {"config": SETTINGS, "brokers": GONE}, "forget_s": 20}],
+                         indirect=True)
+def test_a_machine_under_a_new_name_takes_the_place_of_a_dead_one(plane):
+    """And after its time another dead one goes, too."""
+    plane.start()
+    peers = [{"name": n, "address": a, "zone": "room1"} for n, a in PLACES.items()]
+    plane.broker("n1", fleet={"peers": peers,
+                              "voters": [{"version": 1, "names": list(PLACES)}], "term_s": TERM})
+
+    def registered():
+        told = json.loads(run("control", "state", *plane.at(), "--prefix", "broker/")[1])
+        return set(told["entries"])
+
+    assert until(lambda: registered() == {"broker/n1", "broker/older"}, 2 * WAIT, 0.5), plane.words()
+    changes = json.loads(run("control", "history", *plane.at(), "--json")[1])
+    assert (changes[-1]["set"], changes[-1]["removed"]) == (["broker/n1"], ["broker/old"])
+    assert until(lambda: registered() == {"broker/n1"}, 2 * WAIT, 0.5), plane.words()
+
+
 def test_slow_silent_and_garbled_peers_are_given_up(plane):
     control = plane.controls["c1"]
     control.start("--first", str(plane.seed))
