Control plane: a request's name used again for other contents is refused, not called done

Cause: a primary that knew a request's name answered with the version it had become, whatever the new one asked for: an operator who reused a name was told that a change was in force that never was made. The scene a_request_repeated repeated the name with other contents, which is what is now refused; it repeats the same contents now, and still fails without its guard. Result: test_a_name_stands_for_one_change fails without the change and passes with it; the rest of test_controlplane_replica.py but the random worlds (3) was run: 24 passed.

--- a/cypressledge/controlplane/replica.py
+++ b/cypressledge/controlplane/replica.py
@@ -452,6 +452,12 @@
         """Guards against a request that comes into force twice."""
         return self.tail.requested(request)
 
+    def _differs(self, version: int, ops: list[Op]) -> bool:
+        """Guards against "done" for a change that never was made: its name was another one's. Told as long as
+        the entry is held."""
+        held = self.log.between(version - 1, version) if version > self.log.base[1] else []
+        return any({op.key: op.value for op in c.ops} != {op.key: op.value for op in ops} for c in held)
+
     # The lease
 
     @property
@@ -732,6 +738,9 @@
         self._must_lead(now)
         known = self._known(request)
         if known is not None:
+            if self._differs(known, ops):
+                raise StateError(f"request {request} became version {known}, with other contents: give this "
+                                 "one a name of its own")
             return self.tickets.get(known) or Ticket(known, self.log.epoch_at(known) or 0, "done")
         check(self.tail, ops)
         if keys := clashes(self.tail, base, ops):
