Control plane: changes that come to a broker together make one list of engines, not one each

Cause: a broker took the whole list, and the settings, anew at each change of a Deltas, without a pause: 128 KB hold some 800 changes of one engine, so one that had been away for long stood still for a second or more. Change: the follower says when all that a message brought is held (settled); the broker's part takes what was touched then, once. The laboratory's record names a version in force only from there on. Result: test_changes_that_come_together_make_one_list fails before (300 lists) and passes now.

--- a/cypressledge/controlplane/agent.py
+++ b/cypressledge/controlplane/agent.py
@@ -28,15 +28,18 @@
     """Follows the control plane for one broker. `run`: the broker's run, never 0; `fleet_address`: HOST:PORT
     of its fleet socket, empty where it is not to be registered. `changed(state, change)` is called by the
     agent's greenlet once a newer state is held (no change: it came as a snapshot); it answers why some of it
-    was turned down, nothing where all is in force. `record`: for the laboratory, a file of what was in force
-    when.
+    was turned down, nothing where all is in force. `settled()`, where given, is called once all that came
+    together is held: only then is it in force, and it answers instead. `record`: for the laboratory, a file
+    of what was in force when.
 
     Spawn what `parts` names; `stop` ends it."""
 
     def __init__(self, name: str, run: int, settings: ControlSettings, zone: str, region: str,
                  fleet_address: str, changed: Callable[[FleetState, Change | None], str | None],
-                 counters: Counters, record: str = "", log=None, seed: int | None = None) -> None:
+                 counters: Counters, record: str = "", log=None, seed: int | None = None,
+                 settled: Callable[[], str | None] | None = None) -> None:
         self.name, self.run, self.changed, self.counters = name, run, changed, counters
+        self.settled = settled
         self.clock, self.traffic = LeaseClock(), Traffic()
         self.log = logger(name, run) if log is None else log
         self.record = open(record, "a", buffering=1, encoding="utf-8") if record else None
@@ -46,7 +49,7 @@
         servers = [Server(s.name, s.address, s.zone, s.region) for s in settings.servers]
         self.follower = Follower(name, run, servers, zone, region, run if seed is None else seed,
                                  fleet_address, self._out, self._connect, self._end, self._changed,
-                                 self._event)
+                                 self._event, settled=settled and self._settled)
         self.parts = [self.follow]
         self._note("start")
 
@@ -128,6 +131,12 @@
 
     def _changed(self, state: FleetState, change: Change | None) -> str | None:
         refused = self.changed(state, change)
+        if self.settled is None:
+            self._note("in_force")
+        return refused
+
+    def _settled(self) -> str | None:
+        refused = self.settled()
         self._note("in_force")
         return refused
 
--- a/cypressledge/controlplane/follower.py
+++ b/cypressledge/controlplane/follower.py
@@ -65,18 +65,20 @@
 class Follower:
     """Follows one control process. `out(message)`; `connect(server)`: answered by `up` or `down`;
     `end(why)`: close the connection, of which nothing may be told any more; `changed(state, change)` after
-    each change taken (None: a snapshot), which answers why some of it was turned down, if it was;
+    each change taken (None: a snapshot), which answers why some of it was turned down, if it was; `settled()`
+    once all that a message brought is taken, which answers the same: for what needn't be done at each one;
     `event(name, **what)`: to be logged, counted here. `lineage`: the only one to be taken; empty: that of the
     first snapshot."""
 
     def __init__(self, name: str, run: int, servers: list[Server], zone: str, region: str, seed: int,
                  address: str, out: Callable[[Message], None], connect: Callable[[Server], None],
                  end: Callable[[str], None], changed: Callable[[FleetState, Change | None], str | None],
-                 event: Callable[..., None], lineage: str = "") -> None:
+                 event: Callable[..., None], lineage: str = "",
+                 settled: Callable[[], str | None] | None = None) -> None:
         self.name, self.run, self.address, self.zone, self.region = name, run, address, zone, region
         self.servers = order(name, zone, region, servers)
         self.out, self.connect, self.end, self.changed, self.event = out, connect, end, changed, event
-        self.lineage = lineage
+        self.lineage, self.settled = lineage, settled
         self.counters = Counters()
         self.state = FleetState()  # of no lineage while nothing is held
         self.refused = ""  # why some of it is not in force
@@ -201,10 +203,21 @@
 
     def _deltas(self, changes: list[Change]) -> None:
         """Take what follows; one answer in any case."""
+        before = self.state.version
+        wanted = self._take(changes)
+        if self.state.version > before:
+            self._settle()
+        if wanted is None:
+            self._have()
+        else:
+            self.out(wanted)
+
+    def _take(self, changes: list[Change]) -> WholeWanted | None:
+        """What follows, up to where a snapshot is wanted instead, if anywhere."""
         for change in changes:
             if not self.state.lineage or change.version > self.state.version + 1:
                 self._count("gap", version=change.version, own=self.state.version)
-                return self.out(WholeWanted("gap"))
+                return WholeWanted("gap")
             if change.version <= self.state.version or change.epoch < self.state.epoch:
                 self._turn_down(change.epoch, change.version)
                 continue
@@ -213,9 +226,9 @@
                 self.state.apply(change)
             except StateError as err:
                 self._count("delta_differs", version=change.version, why=str(err))
-                return self.out(WholeWanted("digest"))
+                return WholeWanted("digest")
             self._taken(before, change)
-        self._have()
+        return None
 
     def _whole(self, now: int, packed: bytes) -> None:
         try:
@@ -230,6 +243,7 @@
             return self._have()
         before, self.state = self.state.position, state
         self._taken(before, None)
+        self._settle()
         self._have()
 
     def _newer(self, snapshot: Snapshot) -> bool:
@@ -258,6 +272,10 @@
         self.counters.add("wholes_taken" if change is None else "changes_taken")
         self.refused = one_line(self.changed(self.state, change) or "")
 
+    def _settle(self) -> None:
+        if self.settled is not None:
+            self.refused = one_line(self.settled() or "")
+
     def _turn_down(self, epoch: int, version: int) -> None:
         self._count("turned_down", epoch=epoch, version=version, own=self.state.position)
 
--- a/cypressledge/controlplane/part.py
+++ b/cypressledge/controlplane/part.py
@@ -18,6 +18,7 @@
 from cypressledge.fleet.node import new_run
 from cypressledge.net.directory import Listed
 
+KINDS = ("config", "engine", "broker")
 STATES = {"ready": State.READY, "draining": State.DRAINING}
 
 
@@ -29,9 +30,10 @@
         settings, name = read_control(file), broker.config.name
         self.fleet = broker.fleet
         self.run = new_run() if self.fleet is None else self.fleet.node.run_id
+        self.touched: set[str] = set()  # kinds of keys of which something has come, and isn't in force yet
         self.refusals: dict[str, str] = {}  # by kind of key: why the newest of that kind is not in force
         self.agent = FollowerAgent(name, self.run, settings, *self._place(env), self._changed, self.counters,
-                                   settings.lab.record)
+                                   settings.lab.record, settled=self._settled)
         self.parts = self.agent.parts
         if broker.management is not None:
             broker.management.add("/control/status", "GET", lambda r: (200, self._status()))
@@ -64,12 +66,19 @@
     # What a new state brings
 
     def _changed(self, state: FleetState, change: Change | None) -> str:
-        """Take what differs; `change` is None for a whole state. Why some of it is not in force."""
-        touched = None if change is None else {op.key.partition("/")[0] for op in change.ops}
+        """Something of these kinds of keys; `change` is None for a whole state."""
+        self.touched |= set(KINDS) if change is None else {op.key.partition("/")[0] for op in change.ops}
+        return self.refused
+
+    def _settled(self) -> str:
+        """Take what differs; why some of it is not in force. Guards against requests that stand still while
+        the list is taken anew for each of some hundred changes that came together."""
+        state, touched = self.agent.state, self.touched
+        self.touched = set()
         for kind, take in (("config", lambda: self._settings(state.config())),
                            ("engine", lambda: self._engines(state.engines())),
                            ("broker", self.name_peers)):
-            if touched is None or kind in touched:
+            if kind in touched:
                 self._take(kind, take)
         return self.refused
 
--- a/tests/test_controlplane_parts.py
+++ b/tests/test_controlplane_parts.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -12,11 +13,16 @@
 from cypressledge.controlplane import frames as frames_module
 from cypressledge.controlplane.faults import Faults
 from cypressledge.controlplane.frames import Ended, Frames, Traffic
+from cypressledge.controlplane.history import History
 from cypressledge.controlplane.lag import NAMES_MOST, InForce
-from cypressledge.controlplane.messages import FRAME_MOST, Goodbye, Have, Seen, Whole, encode
+from cypressledge.controlplane.messages import (
+    FRAME_MOST, Deltas, Goodbye, Have, Op, Seen, Welcome, Whole, encode,
+)
 from cypressledge.controlplane.operators import BadRequest, read_change
+from cypressledge.controlplane.part import ControlPart
 from cypressledge.controlplane.replica import DiskError
-from cypressledge.controlplane.state import plain
+from cypressledge.controlplane.state import FleetState, canonical, plain
+from cypressledge.counters import Counters
 
 ONE, TWO = Have(7, 3, bytes(16)), Goodbye("stopping", 5)
 
@@ -206,3 +212,52 @@
     assert not Faults("").due("")
     with pytest.raises(ConfigError):
         Faults("kill-sometime")
+
+
+class Listener:
+    """As much of a broker as the control plane's part touches."""
+
+    def __init__(self):
+        self.config, self.counters = SimpleNamespace(name="b1"), Counters()
+        self.fleet = self.management = None
+        self.sections, self.engines_told, self.lists = {}, False, []
+
+    def take_sections(self, sections):
+        if "Bad" in sections:
+            raise ConfigError("not these")
+        self.sections = sections
+
+    def take_engines(self, engines):
+        self.lists.append([e.name for e in engines])
+        self.engines_told = True
+
+
+def test_changes_that_come_together_make_one_list(tmp_path):
+    record, file = tmp_path / "record", tmp_path / "control.yaml"
+    file.write_text(json.dumps({"lab": {"record": str(record)}, "servers": [
+        {"name": n, "address": f"{n}:1", "fleet": f"{n}:2", "management": f"{n}:3"} for n in "abc"]}))
+    broker = Listener()
+    part = ControlPart(str(file), broker, {})
+    follower, now = part.agent.follower, 0
+    while follower.phase.value != "connecting":
+        now = max(now, follower.tick(now))
+    follower.up(now)
+    follower.received(now, Welcome("c", 1, "line"))
+
+    def engine(i):
+        return Op(f"engine/e{i:03}", canonical({"address": f"e:{i + 1}"}))
+
+    history = History(FleetState("line"))
+    history.apply(history.state.draft(1, [engine(0)]))
+    follower.received(now, Whole(history.packed()))
+    for i in range(1, 300):
+        history.apply(history.state.draft(1, [engine(i)]))
+    history.apply(history.state.draft(1, [Op("config/Bad", canonical(1))]))
+    follower.received(now, Deltas([c for c, _ in history.changes][1:]))
+    assert [len(names) for names in broker.lists] == [1, 300]
+    assert part.refused == follower.refused == "not these"
+    in_force = [told for told in map(json.loads, record.read_text().splitlines()) if "version" in told]
+    assert [told["version"] for told in in_force] == [1, 301]  # nothing is said to be in force before it is
+    spoilt = history.state.draft(1, [engine(301)])
+    follower.received(now, Deltas([history.state.draft(1, [engine(300)]), spoilt]))
+    assert len(broker.lists[-1]) == 301  # what came before a gap is in force
