Fleet: a reload keeps what is known of peers that only the control plane names

Cause: SIGHUP renamed the peers to the fleet file's, then again to those of the control plane: all that only the state names were dropped and came back as unknown, that is gone, until they were met again; leases and tasks went by that. Change: the fleet's part keeps the control plane's names, and a reload names file and state at once. Result: the new test in test_fleet_node.py fails with the two renames, passes with the one; run: that file, test_controlplane_parts, test_controlplane_follow, test_style: 86 passed.

--- a/cypressledge/broker.py
+++ b/cypressledge/broker.py
@@ -137,8 +137,6 @@
             return
         if self.fleet is not None:
             self.fleet.reload()
-        if self.control is not None:
-            self.control.name_peers()
         log("reload: the new configuration is in force")
 
     def _reload(self, sections: dict) -> None:
--- a/cypressledge/controlplane/part.py
+++ b/cypressledge/controlplane/part.py
@@ -112,9 +112,8 @@
         """Where the other brokers are: as the fleet's file says, and above that as the state does."""
         if self.fleet is None:
             return
-        told = {p.name: p.address for p in self.fleet.told.peers}
-        told |= {name: b.address for name, b in self.agent.state.brokers().items()}
-        self.fleet.node.rename({name: address(text) for name, text in told.items()})
+        brokers = self.agent.state.brokers()
+        self.fleet.name_peers({name: address(b.address) for name, b in brokers.items()})
 
 
 def _listed(name: str, engine: Engine) -> Listed:
--- a/cypressledge/fleet/part.py
+++ b/cypressledge/fleet/part.py
@@ -44,6 +44,7 @@
         self.core, self.counters = core, counters
         told = self.told = read_fleet(path)
         own = self._own(told)
+        self.named: dict[str, tuple[str, int]] = {}  # peers as the control plane has them, above the file's
         self.turns: set[str] = set()
         self.record = open(told.lab.record, "a", buffering=1, encoding="utf-8") if told.lab.record else None
         self.recorded: dict[str, int] = {}
@@ -181,6 +182,12 @@
         runs out by itself, while the process starts anew."""
         self.node.stop({s.place.lease for s in self.keeper.seats.values() if s.place.group in self.turns})
 
+    def name_peers(self, named: dict[str, tuple[str, int]]) -> None:
+        """Where the control plane has brokers, from now on; the file's others stay. Kept over a reload:
+        guards against taking all that the file doesn't name for gone until they are met again."""
+        self.named = named
+        self.node.rename(self._addresses(self.told) | named)
+
     def reload(self) -> None:
         """Read the file again. Guards against a bad one, and one that changes more than one voter."""
         try:
@@ -197,7 +204,7 @@
             self.log.warning("fleet_reload_refused", why=str(err))
             return
         self.told = told
-        self.node.rename(self._addresses(told))
+        self.node.rename(self._addresses(told) | self.named)
         self.node.set_places(self._places(told))
         self.log.info("fleet_reloaded", version=self.electorate.version, voters_changed=changed)
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -1,6 +1,8 @@
 """Members of a fleet without a broker: leases, peers that move, the socket's bounds, a file of many peers."""
 
+import json
 import time
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -14,6 +16,7 @@
 from cypressledge.fleet.members import ALIVE, GONE, SUSPECT, Members
 from cypressledge.fleet.messages import Ping, Sight, Word
 from cypressledge.fleet.node import FleetNode
+from cypressledge.fleet.part import FleetPart
 from cypressledge.fleet.settings import read_fleet
 from cypressledge.lab.processes import until
 from cypressledge.lab.relay import udp_ports
@@ -224,3 +227,23 @@
         assert len(read_fleet(str(path)).peers) == 600
         took.append(time.process_time() - began)
     assert min(took) < 0.5
+
+
+def test_a_reload_keeps_what_is_known_of_peers_that_only_the_control_plane_names(tmp_path):
+    file = tmp_path / "fleet.yaml"
+    peers = [{"name": n, "address": f"127.0.0.1:{i}"} for i, n in enumerate("abc", 1)]
+    file.write_text(json.dumps({"listen": "127.0.0.1:0", "peers": peers, "leases": [{"name": "l"}],
+                                "voters": [{"version": 1, "names": ["a", "b", "c"]}]}))
+    part = FleetPart(str(file), SimpleNamespace(name="a", classes=(), zones=()), None, Counters())
+    try:
+        part.name_peers({"b": ("127.0.0.1", 7), "d": ("127.0.0.1", 8)})
+        for name in "bd":
+            part.members.hear(part.node.now(), name, 5)
+        assert part.node.alive() == {"a", "b", "d"}
+        part.reload()
+        assert part.node.alive() == {"a", "b", "d"}
+        assert part.node.exchange.addresses["b"][1] == 7 and part.node.exchange.addresses["c"][1] == 3
+        part.name_peers({})
+        assert part.node.alive() == {"a", "b"} and part.node.exchange.addresses["b"][1] == 2
+    finally:
+        part.node.close()
