Control plane: a repeated request is told what it became, also where other classes are in force by now

Cause: the check that classes stay the same came before the look whether the request is known: a repeat of one that had been taken could be answered "bad", which the command calls refused, nothing changed. Change: that check is for new requests and dry runs. Result: test_other_classes_are_refused_but_a_repeat_is_told_what_it_became fails before, passes now; run: test_controlplane_parts, test_controlplane_replica (random worlds too), test_style: 63 passed.

--- a/cypressledge/controlplane/server.py
+++ b/cypressledge/controlplane/server.py
@@ -495,7 +495,7 @@
             if not self.leads:
                 raise NotPrimary(self.primary)
             base = replica.tail.version if asked.base is None else asked.base
-            check_classes(replica.tail, asked.ops)
+            check_new(replica.tail, asked)
             if asked.dry_run:
                 self._try(asked, base, exchange)
                 return
@@ -621,6 +621,13 @@
         os._exit(3)
 
 
+def check_new(state: FleetState, asked: Asked) -> None:
+    """What holds for a change that isn't known yet. Guards against "refused" for a repeat that was taken.
+    Raises `StateError`."""
+    if asked.dry_run or state.requested(asked.request) is None:
+        check_classes(state, asked.ops)
+
+
 def check_classes(state: FleetState, ops: list[Op]) -> None:
     """Guards against settings that no broker can take before its restart. Raises `StateError`."""
     held = state.entries.get("config/Classes")
--- a/tests/test_controlplane_parts.py
+++ b/tests/test_controlplane_parts.py
@@ -18,10 +18,11 @@
 from cypressledge.controlplane.messages import (
     FRAME_MOST, Deltas, Goodbye, Have, Op, Seen, Welcome, Whole, encode,
 )
-from cypressledge.controlplane.operators import BadRequest, read_change
+from cypressledge.controlplane.operators import Asked, BadRequest, read_change
 from cypressledge.controlplane.part import ControlPart
 from cypressledge.controlplane.replica import DiskError
-from cypressledge.controlplane.state import FleetState, canonical, plain
+from cypressledge.controlplane.server import check_new
+from cypressledge.controlplane.state import FleetState, StateError, canonical, plain
 from cypressledge.counters import Counters
 
 ONE, TWO = Have(7, 3, bytes(16)), Goodbye("stopping", 5)
@@ -261,3 +262,14 @@
     spoilt = history.state.draft(1, [engine(301)])
     follower.received(now, Deltas([history.state.draft(1, [engine(300)]), spoilt]))
     assert len(broker.lists[-1]) == 301  # what came before a gap is in force
+
+
+def test_other_classes_are_refused_but_a_repeat_is_told_what_it_became():
+    state = FleetState("line")
+    first, other = ([Op("config/Classes", canonical([{"Name": name}]))] for name in ("slow", "fast"))
+    for ops, request in ((first, "r"), ([Op("config/Classes")], ""), (other, "s")):
+        state.apply(state.draft(1, ops, request))
+    check_new(state, Asked(None, "r", "", "", first, False))  # taken once, as version 1
+    for request, dry in (("t", False), ("", False), ("r", True)):
+        with pytest.raises(StateError, match="only at a restart"):
+            check_new(state, Asked(None, request, "", "", first, dry))
