Capacity page: what holds with the control plane, from scale runs a line each

Need: slopes of the program before and runs with the mechanism have to stand apart, and runs are appended by lab capacity. Change: tables now (the most of all runs at the target against limits) and scale (a run a column), read from scale.jsonl; what is carried by the control plane says so. No run is committed yet: the tables say that.

--- a/cypressledge/lab/capacity.py
+++ b/cypressledge/lab/capacity.py
@@ -305,7 +305,8 @@
         done.append(point)
         if json_file:
             with open(json_file, "a", encoding="utf-8") as file:
-                file.write(json.dumps(point.figures) + "\n")
+                told = point.figures | {"exit": int(point.failed), "passed": point.broken}
+                file.write(json.dumps(told) + "\n")
         if plot and len(done) == len(sizes):
             draw_plot(done, plot)
             say(f"drawn: {plot}")
--- a/cypressledge/lab/capacity_needs.py
+++ b/cypressledge/lab/capacity_needs.py
@@ -37,7 +37,7 @@
 ROLES = (REQUEST, CONTROL, VOTER, PLANNER, PRIMARY, MACHINES, DIRECTORY, ENGINE)
 FAILURES = "after a failure"
 SHARE = "missing: a broker's own share of the engines"
-HISTORY = "missing: the fleet's state as numbered changes"
+HISTORY = "was missing: the fleet's state as numbered changes; now the control plane"
 OWN_MACHINE = "missing: the planner away from brokers, or sights summed up on the way"
 
 
@@ -257,13 +257,13 @@
          lambda b: b.engines / ZONES,
          128.0, "ENGINES_MOST", "stands"),
     Need(PRIMARY, "messages", "changes of the configuration", "a day", lambda b: CONFIG_A_DAY, None,
-         "in force within 12 s", "missing: there is no primary; a file and SIGHUP at each broker"),
+         "in force within 12 s", "was missing: a primary; now the control plane"),
     Need(PRIMARY, "network", "a change a second as whole lists to every broker", "KB/s",
          lambda b: b.at("directory_bytes", b.engines) * b.brokers / 1000, NETWORK,
          "a link of 1 Gbit/s, assumed",
          HISTORY),
     Need(MACHINES, "state", "machines set aside; in use by the program", "machines", lambda b: 0.0, 8.0,
-         "the target", "missing: no control process apart from brokers"),
+         "the target", "was missing: control processes; now the control plane"),
     Need(MACHINES, "network", "the planner's sights there, something fails everywhere", "KB/s",
          _sights_in(SIGHTS_BAD), NETWORK, "a link of 1 Gbit/s, assumed", OWN_MACHINE),
     Need(MACHINES, "processor", "the planner's acts and sights there, a zone lost", "% of a core",
--- a/cypressledge/lab/capacity_page.py
+++ b/cypressledge/lab/capacity_page.py
@@ -20,13 +20,35 @@
 from cypressledge.lab.results import Results, ResultsError, read
 
 MARK = re.compile(r"(<!-- table:([a-z-]+) -->\n).*?(<!-- end -->)", re.S)
-SCALE = "scale.json"  # beside the first results file
+SCALE = "scale.jsonl"  # beside the first results file: a run a line, as `lab capacity --json` appends them
 SIZES_LEAST = 3  # sizes of a fleet from which a fit is shown
 BY_ROLE = {"request-path": REQUEST, "control-part": CONTROL, "voter": VOTER, "planner": PLANNER,
            "primary": PRIMARY, "control-machines": MACHINES, "directory": DIRECTORY, "engine": ENGINE,
            "failures": FAILURES}
 TARGET = {"engines": ENGINES, "brokers": BROKERS, "client connections": CLIENTS}
 LIMITS = {"broker_cpu_pct": CPU, "broker_net_kb_s": NET, "broker_rss_mb": MEMORY}
+SHOWN = ("brokers", "engines", "seconds", "seed", "commit", "changes", "p99_s", "most_s", "all_most_s",
+         "primary_most_s", "broker_cpu_pct", "broker_net_kb_s", "broker_rss_mb", "control_cpu_pct",
+         "control_net_kb_s", "control_rss_mb", "lost", "gone_back", "wrong", "snapshots", "reconnects",
+         "late_ms_p99", "load_average", "exit", "passed")  # of a run, in this order; the file has the rest
+NOW = (  # (role, what, figure of a run, unit, limit, where the limit is from): the most of all runs counts
+    ("all", "a change in force at every broker, quiet times, p99", "p99_s", "s", 2.0, "the aim"),
+    ("all", "a change in force at every broker, quiet times, most", "most_s", "s", 12.0, "the target"),
+    ("all", "the same, with every fault of the day counted", "all_most_s", "s", None, "none set"),
+    (PRIMARY, "from a primary's loss to the next one's word", "primary_most_s", "s", 8.0, "the target"),
+    (CONTROL, "processor time of a real broker, its starts with it", "real_cpu_pct", "% of a core", CPU,
+     "the target"),
+    (CONTROL, "processor time of a hollow broker", "hollow_cpu_pct", "% of a core", CPU, "the target"),
+    (CONTROL, "members and distribution, payload in and out", "broker_net_kb_s", "KB/s", NET, "the target"),
+    (CONTROL, "memory of a real broker, all of it", "broker_rss_mb", "MB", MEMORY, "the target"),
+    (MACHINES, "processor time of a control process", "control_cpu_pct", "% of a core", 100.0,
+     "one core, one thread"),
+    (MACHINES, "payload in and out of a control process", "control_net_kb_s", "KB/s", 125_000.0,
+     "a link of 1 Gbit/s, assumed"),
+    (MACHINES, "memory of a control process", "control_rss_mb", "MB", None, "none set"),
+    ("all", "acknowledged changes that a broker in reach never had", "lost", "", 0, "the target"),
+    ("all", "brokers that went to an older version", "gone_back", "", 0, "the target"),
+    ("all", "brokers whose state differs from the primary's", "wrong", "", 0, "the target"))
 FITTED = ("cpu", "kb_s", "rss", "_mb")  # parts of names of figures that grow with the fleet
 
 
@@ -129,9 +151,10 @@
 
 
 def read_scale(path: str) -> list[dict]:
-    """A list of runs. Raises `ResultsError` with one line."""
+    """Runs: a list, or a run a line. Raises `ResultsError` with one line."""
     try:
-        told = json.loads(Path(path).read_bytes())
+        raw = Path(path).read_bytes()
+        told = list(map(json.loads, raw.splitlines())) if path.endswith("l") else json.loads(raw)
     except OSError as err:
         raise ResultsError(f"{path}: {err.strerror}") from None
     except ValueError as err:
@@ -142,11 +165,28 @@
 
 
 def scale_table(runs: list[dict]) -> str:
-    """The runs, keys as they are given."""
+    """The runs, a column each: there are more figures than runs."""
     if not runs:
         return f"No run yet: there is no `{SCALE}` beside the slopes."
-    keys = list(dict.fromkeys(key for run in runs for key in run))
-    return table(keys, [[run.get(key) for key in keys] for run in runs])
+    keys = [key for key in SHOWN if any(key in run for run in runs)]
+    keys += [key for key in dict.fromkeys(key for run in runs for key in run) if key.startswith("faults.")]
+    return table(["figure", *(f"run {i + 1}" for i in range(len(runs)))],
+                 [[key, *(run.get(key) for run in runs)] for key in keys])
+
+
+def now_table(runs: list[dict]) -> str:
+    """The most of all runs at the target's size against limits."""
+    runs = [run for run in runs if run["brokers"] == BROKERS and run.get("engines") == ENGINES]
+    if not runs:
+        return f"No run yet with {BROKERS} brokers and {ENGINES} engines."
+    rows = []
+    for role, what, key, unit, limit, source in NOW:
+        values = [run[key] for run in runs if key in run]
+        if values:
+            ratio = f"{max(values) / limit:.2f}" if limit else "-"
+            rows.append([role, what, max(values), unit, "-" if limit is None else limit, ratio, source,
+                         f"measured, {len(values)} runs"])
+    return table(["role", "what", "most", "unit", "limit", "need/limit", "limit from", "basis"], rows)
 
 
 def control_table(runs: list[dict]) -> str:
@@ -181,7 +221,7 @@
             begins = Path(path).read_bytes().lstrip()[:1]
         except OSError as err:
             raise ResultsError(f"{path}: {err.strerror}") from None
-        (scale if begins == b"[" else slopes).append(path)
+        (scale if begins == b"[" or path.endswith(".jsonl") else slopes).append(path)
     beside = Path(paths[0]).parent / SCALE
     if beside.exists() and str(beside) not in map(str, map(Path, scale)):
         scale.append(str(beside))
@@ -202,7 +242,8 @@
         "first": lambda: first_table(told), "missing": lambda: missing_table(told),
         "slopes": lambda: slopes_table(results), "facts": lambda: facts_table(results),
         "sources": lambda: sources_table(results), "scale": lambda: scale_table(runs),
-        "control": lambda: control_table(runs), **{name: of_role(role) for name, role in BY_ROLE.items()}}
+        "now": lambda: now_table(runs), "control": lambda: control_table(runs),
+        **{name: of_role(role) for name, role in BY_ROLE.items()}}
 
 
 def rendered(page: str, made: dict[str, Callable[[], str]]) -> str:
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -9,7 +9,7 @@
 from cypressledge.cli import cli
 from cypressledge.lab import fits, slopes
 from cypressledge.lab.capacity_needs import NEEDS, ROLES, lines
-from cypressledge.lab.capacity_page import control_table, rendered, scale_table, slope_limits
+from cypressledge.lab.capacity_page import control_table, now_table, rendered, scale_table, slope_limits
 from cypressledge.lab.results import ResultsError, read, slope, source
 
 ROOT = Path(__file__).parent.parent
@@ -88,6 +88,9 @@
 def test_runs_at_scale_are_shown_as_given_and_fitted_from_three_sizes():
     runs = [{"brokers": n, "broker_cpu_pct": 0.01 * n, "control": 5} for n in (60, 120, 240)]
     assert "broker_cpu_pct" in scale_table(runs) and "| 2.4 " in scale_table(runs)
+    assert now_table(runs).startswith("No run yet with 460 brokers")
+    at_size = [{"brokers": 460, "engines": 490, "most_s": s, "lost": 0} for s in (1.5, 3.0)]
+    assert " 0.25 " in now_table(at_size) and "measured, 2 runs" in now_table(at_size)
     assert "4.6" in control_table(runs) and "1.44" in control_table(runs)  # at 460, against 3.2%
     assert control_table(runs[:2]).startswith("No fit yet") and scale_table([]).startswith("No run yet")
 
