One reader of YAML settings and one process of the laboratory, in place of two twins each

Cause: the control plane's settings and the scale run's control processes were written beside their twins (found by a look for duplicates).

--- a/cypressledge/controlplane/settings.py
+++ b/cypressledge/controlplane/settings.py
@@ -7,10 +7,9 @@
 from typing import Annotated
 
 import msgspec
-import yaml
 
 from cypressledge.config import ConfigError, address
-from cypressledge.fleet.settings import Name, Seconds, Strict
+from cypressledge.fleet.settings import Name, Seconds, Strict, once, read_yaml
 
 SERVERS_MOST = 8
 VOTERS = (3, 5, 7)
@@ -74,38 +73,18 @@
 
 def read_control(path: str) -> ControlSettings:
     """The file's settings. Raises `ConfigError` with one line that names the mistake."""
-    try:
-        with open(path, encoding="utf-8") as file:
-            raw = yaml.safe_load(file)
-    except OSError as err:
-        raise ConfigError(f"{path}: {err.strerror}") from None
-    except UnicodeDecodeError:
-        raise ConfigError(f"{path} is not UTF-8 text") from None
-    except (yaml.YAMLError, RecursionError) as err:
-        raise ConfigError(f"{path} is not YAML: {' '.join(str(err).split())}") from None
-    try:
-        told = msgspec.convert(raw, ControlSettings, strict=True)
-        check(told)
-    except (msgspec.ValidationError, ConfigError) as err:
-        raise ConfigError(f"{path}: {err}") from None
-    return told
+    return read_yaml(path, ControlSettings, check)
 
 
 def check(told: ControlSettings) -> None:
     """The rules that a schema can't state. Raises `ConfigError`."""
     if not 1 <= len(told.servers) <= SERVERS_MOST:
         raise ConfigError(f"{len(told.servers)} control processes; 3 to {SERVERS_MOST} can be")
-    _once([s.name for s in told.servers], "control process")
+    once([s.name for s in told.servers], "control process")
     for spec in told.servers:
         for text in (spec.address, spec.fleet, spec.management):
             address(text)
-    _once([s.address for s in told.servers] + [s.management for s in told.servers], "address")
-    _once([s.fleet for s in told.servers], "fleet address")
+    once([s.address for s in told.servers] + [s.management for s in told.servers], "address")
+    once([s.fleet for s in told.servers], "fleet address")
     if len(told.voters) not in VOTERS:
         raise ConfigError(f"{len(told.voters)} control processes vote; 3, 5 or 7 can")
-
-
-def _once(values: list[str], what: str) -> None:
-    for value in values:
-        if values.count(value) > 1:
-            raise ConfigError(f"{what} {value} is named twice")
--- a/cypressledge/fleet/settings.py
+++ b/cypressledge/fleet/settings.py
@@ -3,7 +3,8 @@
 Checked whole by msgspec's schema and then by the rules below; whatever is wrong is one plain line.
 """
 
-from typing import Annotated, Literal
+from collections.abc import Callable
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 import yaml
@@ -11,6 +12,7 @@
 from cypressledge.config import ConfigError, address
 from cypressledge.fleet.lease import VoterSetError, check_sets
 
+T = TypeVar("T")
 PEERS_MOST = 1_000  # 460 brokers, those that replace them in a deployment, control machines
 PLACES_MOST = 32
 LEASES_MOST = 256
@@ -132,6 +134,11 @@
 
 def read_fleet(path: str) -> FleetSettings:
     """The file's settings. Raises `ConfigError` with one line that names the mistake."""
+    return read_yaml(path, FleetSettings, check)
+
+
+def read_yaml(path: str, schema: type[T], check: Callable[[T], None]) -> T:
+    """A YAML file's settings by their schema, checked whole. Raises `ConfigError` with one line."""
     try:
         with open(path, encoding="utf-8") as file:
             raw = yaml.safe_load(file)
@@ -142,12 +149,9 @@
     except (yaml.YAMLError, RecursionError) as err:
         raise ConfigError(f"{path} is not YAML: {' '.join(str(err).split())}") from None
     try:
-        told = msgspec.convert(raw, FleetSettings, strict=True)
-    except msgspec.ValidationError as err:
-        raise ConfigError(f"{path}: {err}") from None
-    try:
+        told = msgspec.convert(raw, schema, strict=True)
         check(told)
-    except (ConfigError, VoterSetError) as err:
+    except (msgspec.ValidationError, ConfigError, VoterSetError) as err:
         raise ConfigError(f"{path}: {err}") from None
     return told
 
@@ -155,12 +159,12 @@
 def check(told: FleetSettings) -> None:
     """The rules that a schema can't state. Raises `ConfigError` or `VoterSetError`."""
     names = [p.name for p in told.peers]
-    _once(names, "peer")
-    _once([p.address for p in told.peers], "address")
-    _once([spec.name for spec in told.leases], "lease")
-    _once([r.name for r in told.regions], "region")
-    _once([zone for r in told.regions for zone in r.zones], "a region's zone")
-    _once([(t.kind, t.lease) for t in told.tasks], "task")
+    once(names, "peer")
+    once([p.address for p in told.peers], "address")
+    once([spec.name for spec in told.leases], "lease")
+    once([r.name for r in told.regions], "region")
+    once([zone for r in told.regions for zone in r.zones], "a region's zone")
+    once([(t.kind, t.lease) for t in told.tasks], "task")
     if not 1 <= len(names) <= PEERS_MOST:
         raise ConfigError(f"{len(names)} peers; 1 to {PEERS_MOST} can be: 460 brokers, as many that replace "
                           "them, and control machines")
@@ -172,7 +176,8 @@
     _check_leases(told)
 
 
-def _once(values: list, what: str) -> None:
+def once(values: list, what: str) -> None:
+    """Raises `ConfigError` where a value is there twice."""
     seen = set()
     for value in values:
         if value in seen:
@@ -183,10 +188,10 @@
 def _check_voters(told: FleetSettings, names: set[str]) -> None:
     if not told.voters:
         raise ConfigError("no voters")
-    _once([v.version for v in told.voters], "voters version")
+    once([v.version for v in told.voters], "voters version")
     newest = max(told.voters, key=lambda v: v.version)
     for voters in told.voters:
-        _once(voters.names, f"in voters version {voters.version}, broker")
+        once(voters.names, f"in voters version {voters.version}, broker")
         if len(voters.names) not in SIZES:
             count = len(voters.names)
             raise ConfigError(f"voters version {voters.version} has {count} voters; 3 to 7 can be")
--- a/cypressledge/lab/capacity_fleet.py
+++ b/cypressledge/lab/capacity_fleet.py
@@ -6,7 +6,6 @@
 
 import json
 import os
-import signal
 import sys
 import time
 from collections import Counter
@@ -20,7 +19,7 @@
 from cypressledge.lab.capacity_day import REGION, ZONES
 from cypressledge.lab.engines import LabEngine
 from cypressledge.lab.load import Client
-from cypressledge.lab.processes import ROOT, Brokers, until
+from cypressledge.lab.processes import ROOT, Brokers, OwnProcess, until
 from cypressledge.lab.relay import Path as Way
 from cypressledge.lab.relay import Relays, TcpRelay
 from cypressledge.lab.site import SETTINGS, free_port
@@ -95,7 +94,7 @@
     return int(head.split()[1]), json.loads(rest)
 
 
-class Control:
+class Control(OwnProcess):
     """One control process. `zone`, `votes`: where it is and whether it counts."""
 
     def __init__(self, name: str, zone: str, votes: bool, folder: Path) -> None:
@@ -105,8 +104,7 @@
         self.fleet = free_port(socket.SOCK_DGRAM)
         self.settings = folder / f"{name}.yaml"
         self.record, self.log = folder / f"{name}.control.jsonl", folder / f"{name}.log"
-        self.process: subprocess.Popen | None = None
-        self.stopped, self.cost = False, Cost()
+        self.cost = Cost()
 
     def start(self, first: Path | None = None) -> None:
         """Start it; with `first`, in an empty store with what that file says."""
@@ -118,22 +116,6 @@
                  *more], cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL, start_new_session=True)
         self.stopped = False
 
-    def running(self) -> bool:
-        """Whether the process is there, stopped or not."""
-        return self.process is not None and self.process.poll() is None
-
-    def signal(self, number: int) -> None:
-        """Send a signal to this process alone."""
-        if self.running():
-            self.process.send_signal(number)
-            self.stopped = {signal.SIGSTOP: True, signal.SIGCONT: False}.get(number, self.stopped)
-
-    def kill(self) -> None:
-        """It is gone at once."""
-        if self.running():
-            self.process.kill()
-            self.process.wait()
-
     def status(self, seconds: float = 1.0) -> dict:
         """As operators see it; empty where it does not answer."""
         try:
--- a/cypressledge/lab/processes.py
+++ b/cypressledge/lab/processes.py
@@ -16,7 +16,30 @@
 ROOT = Path(__file__).parent.parent.parent
 
 
-class BrokerProcess:
+class OwnProcess:
+    """A process that the laboratory starts, and ends by its id."""
+
+    process: subprocess.Popen | None = None
+    stopped = False
+
+    def running(self) -> bool:
+        """Whether the process is there, stopped or not."""
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this process alone."""
+        if self.running():
+            self.process.send_signal(number)
+            self.stopped = {signal.SIGSTOP: True, signal.SIGCONT: False}.get(number, self.stopped)
+
+    def kill(self) -> None:
+        """It is gone at once."""
+        if self.running():
+            self.process.kill()
+            self.process.wait()
+
+
+class BrokerProcess(OwnProcess):
     """One broker of the program with the fleet's part on. `fleet` is the file's content, by its keys."""
 
     def __init__(self, name: str, folder: Path, fleet: dict, members: list[dict] | None = None,
@@ -26,8 +49,6 @@
         self.config_file, self.fleet_file = folder / f"{name}.json", folder / f"{name}.yaml"
         self.log_file = folder / f"{name}.log"
         self.config_file.write_text(json.dumps(config(name, self.port, self.management, members, more)))
-        self.process: subprocess.Popen | None = None
-        self.stopped = False
 
     def start(self, fleet: bool = True, more: tuple[str, ...] = (), place: dict | None = None) -> None:
         """Start it, with or without the fleet's part; its log goes on in the same file. `more`: arguments;
@@ -42,22 +63,6 @@
                 cwd=ROOT, env=env, stdout=log, stderr=log, stdin=subprocess.DEVNULL, start_new_session=True)
         self.stopped = False
 
-    def running(self) -> bool:
-        """Whether the process is there, stopped or not."""
-        return self.process is not None and self.process.poll() is None
-
-    def signal(self, number: int) -> None:
-        """Send a signal to this process alone."""
-        if self.running():
-            self.process.send_signal(number)
-            self.stopped = {signal.SIGSTOP: True, signal.SIGCONT: False}.get(number, self.stopped)
-
-    def kill(self) -> None:
-        """It is gone at once."""
-        if self.running():
-            self.process.kill()
-            self.process.wait()
-
     def leave(self, seconds: float = 5.0) -> int | None:
         """SIGTERM, and its exit code; killed where it takes longer."""
         self.signal(signal.SIGTERM)
