--- a/cypressledge/cli.py
+++ b/cypressledge/cli.py
@@ -312,6 +312,7 @@
 @click.option("--json", "json_file", default="", help="Append each run's figures to this file.")
 @click.option("--plot", default="", help="Draw times and costs into this file (needs matplotlib).")
 @click.option("--quick", is_flag=True, help="60 brokers, 60 engines, 30 s.")
+@click.option("--quiet", is_flag=True, help="Break nothing: a change each 5 s, and what that costs.")
 @click.option("--members/--no-members", default=True, show_default=True,
               help="Whether hollow brokers are members of a fleet, too.")
 @click.option("--ping", "ping_s", default=1.0, show_default=True, help="Seconds of the members' ping period.")
--- a/cypressledge/lab/capacity_day.py
+++ b/cypressledge/lab/capacity_day.py
@@ -64,6 +64,11 @@
             at += span + REST_S + rng.uniform(0.5, 1.0) * term_s
 
 
+def quiet_day(seed: int, seconds: float, every_s: float) -> Day:
+    """A day of changes alone: what the control plane costs where nothing breaks."""
+    return Day(seconds, [], changes_of(random.Random(seed), seconds, every_s))
+
+
 def changes_of(rng: random.Random, seconds: float, every_s: float) -> list[Event]:
     """Changes at random moments; the last ones come in the quiet tail, with time left to be in force."""
     found, at = [], 0.0
--- a/tests/test_capacity_check.py
+++ b/tests/test_capacity_check.py
@@ -172,6 +172,14 @@
         assert part in words
 
 
+def test_a_quiet_run_needs_changes_and_no_fault():
+    told = seen([])
+    found = cc.too_little(cc.check([], [], told), told, 10, 60, quiet=True)
+    assert len(found) == 2 and "0 changes" in found[0]
+    told.losses.append(cc.Loss(1, "c1", "killed"))
+    assert "something was broken" in cc.too_little(cc.check([], [], told), told, 10, 60, quiet=True)
+
+
 def test_limits_are_named():
     v = cc.Verdict(quiet=[12.5], primary_over=[(8.5, "killed")])
     assert len(cc.passed_limits(v, 3.3, 31, 257)) == 5
