Control plane tests: a plane is started once; a second start over a running one is an error

Cause: test_a_lost_disk… called plane.start() inside a generator's condition, once for each name until it met one that does not lead; the second start lost the first one's processes. Now started once, and launch refuses a second start while one runs. Result: both files of process tests, 42 passed, nothing left.

--- a/tests/controlplane.py
+++ b/tests/controlplane.py
@@ -41,6 +41,8 @@
         self.process = None
 
     def launch(self, *args, **env):
+        # Guards against a second start that would leave the first one running for good.
+        assert self.process is None or self.process.poll() is not None, f"{self.name} runs already"
         plain = {k: v for k, v in os.environ.items() if not k.startswith(("ROUTER_", "CYPRESSLEDGE_"))}
         with open(self.log, "a", encoding="utf-8") as log:
             self.process = subprocess.Popen([sys.executable, "-m", "cypressledge", *args], cwd=ROOT,
--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -348,7 +348,8 @@
 
 
 def test_a_lost_disk_needs_a_word_and_comes_back(plane):
-    lost = plane.controls[next(n for n in plane.controls if n != plane.start())]
+    first = plane.start()
+    lost = plane.controls[next(n for n in plane.controls if n != first)]
     assert plane.change({"engines": {"s-1": ENGINE}})[0] == 0
     lost.kill()
     shutil.rmtree(plane.folder / f"store-{lost.name}")
