Laboratory: one word on which commit a measurement is of, in place of two

Found reading the change again: the scale run asked git for its commit beside results.py's own. commit() stands in processes.py now, which needs no numpy, and says of the commit that the process began with; the file of a run from a changed tree says +changes where it said -dirty.

--- a/cypressledge/lab/capacity.py
+++ b/cypressledge/lab/capacity.py
@@ -7,7 +7,6 @@
 import json
 import os
 import random
-import subprocess
 import sys
 import tempfile
 import time
@@ -24,7 +23,7 @@
     MEMBERS, TERM_S, ScaleError, Size, World, engine, ghost, http,
 )
 from cypressledge.lab.capacity_play import Faults, Operator, now, seen, tail
-from cypressledge.lab.processes import ROOT, until
+from cypressledge.lab.processes import commit, until
 
 EVERY_S = 0.7  # a change so often, on average
 QUIET_EVERY_S = 5.0  # the same where nothing breaks: still 38 times the target's 450 a day
@@ -58,7 +57,7 @@
 
     def play(self) -> "Point":
         """Start, play the day, end, judge."""
-        self.load_before, self.commit = os.getloadavg()[0], _commit()
+        self.load_before, self.commit = os.getloadavg()[0], commit()
         self.world = World(self.size, self.seed, self.folder)
         self.parts = [gevent.spawn(self._lateness)]
         try:
@@ -278,11 +277,6 @@
     return [len(times), cc.quantile(times, 0.5), cc.quantile(times, 0.99), max(times, default=0.0)]
 
 
-def _commit() -> str:
-    got = subprocess.run(["git", "describe", "--always", "--dirty"], cwd=ROOT, capture_output=True, text=True)
-    return got.stdout.strip()
-
-
 def run(brokers: int, engines: int, real: int, seconds: float, seed: int, points: str, json_file: str,
         plot: str, quick: bool, quiet: bool, members: bool, ping_s: float, keep: str,
         say: Callable[[str], None], live: bool = False) -> int:
--- a/cypressledge/lab/processes.py
+++ b/cypressledge/lab/processes.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 import time
+from functools import cache
 from pathlib import Path
 
 import yaml
@@ -113,3 +114,14 @@
             return None
         sleep(pause)
     return got
+
+
+@cache
+def commit() -> str:
+    """The commit that this process began with: what is changed while it runs is not what it runs. A tree that
+    differs from its commit says so."""
+    def git(*words: str) -> str:
+        return subprocess.run(["git", *words], cwd=ROOT, capture_output=True, text=True).stdout.strip()
+
+    changed = git("status", "--porcelain", "--", "cypressledge")
+    return (git("rev-parse", "--short=10", "HEAD") or "unknown") + ("+changes" if changed else "")
--- a/cypressledge/lab/results.py
+++ b/cypressledge/lab/results.py
@@ -1,9 +1,7 @@
 """Files of measured slopes: JSON by msgspec's structs, each slope with what it takes to measure it again."""
 
 import os
-import subprocess
 from datetime import UTC, datetime
-from functools import cache
 from itertools import pairwise
 from pathlib import Path
 from typing import Literal
@@ -11,9 +9,7 @@
 import msgspec
 
 from cypressledge.lab.fits import Fit, best
-
-ROOT = Path(__file__).parent.parent.parent
-
+from cypressledge.lab.processes import commit
 
 Basis = Literal["measured", "interpolated", "extrapolated"]
 
@@ -76,17 +72,6 @@
     facts: list[Fact] = []
 
 
-@cache
-def commit() -> str:
-    """The commit that this process began with: what is changed while it runs is not what it runs. A tree that
-    differs from its commit says so."""
-    def git(*words: str) -> str:
-        return subprocess.run(["git", *words], cwd=ROOT, capture_output=True, text=True).stdout.strip()
-
-    changed = git("status", "--porcelain", "--", "cypressledge")
-    return (git("rev-parse", "--short=10", "HEAD") or "unknown") + ("+changes" if changed else "")
-
-
 def source(seed: int, command: str) -> Source:
     """What is to be said of a measurement that begins now."""
     date = datetime.now(UTC).isoformat(timespec="seconds")
