Events in the log: retries, refusals, closes and engine states, with request ids and reasons

Need: the incident's logs could not tell which request was sent again, when and why, why others were refused, nor that the wall clock was stepped.

--- a/cypressledge/broker.py
+++ b/cypressledge/broker.py
@@ -16,10 +16,12 @@
 import gevent
 from gevent.event import Event
 
+from cypressledge.clock import StepWatch
 from cypressledge.config import Config, ConfigError, read_config
 from cypressledge.contract import ListKind, Settings
 from cypressledge.core import Core, clock
 from cypressledge.counters import Counters, log
+from cypressledge.events import Kind
 from cypressledge.net.buffer import GROWN
 from cypressledge.net.directory import Catalogue, Directory, Listed
 from cypressledge.net.jsonrpc import Front
@@ -89,6 +91,7 @@
         self.fleet = self._join(fleet) if fleet else None
         self.control = self._follow(control) if control else None
         self._limit(config)
+        self.clock_watch = StepWatch()
         self.stopping = Event()
 
     def _join(self, file: str):
@@ -224,7 +227,7 @@
         return self.front.listener.taking.is_set() and not self.core.stopping
 
     def _tend(self) -> None:
-        tasks = [link.tend for link in self.links]
+        tasks = [link.tend for link in self.links] + [self._look_at_clock]
         if self.management is not None:
             tasks.append(self.kept.look)
         while True:
@@ -236,6 +239,12 @@
                     log("tending failed:\n" + traceback.format_exc())
                     self.counters.invariant(False, "tending")
 
+    def _look_at_clock(self) -> None:
+        """Log each step of the wall clock: nothing here depends on it, other programs' time stamps do."""
+        if stepped := self.clock_watch.look():
+            self.counters.add("clock.steps")
+            self.core.log.write(Kind.CLOCK_STEPPED, by_ms=stepped // 1000)
+
     def _figures(self) -> None:
         """The counters on one log line every so often, for counting over a fleet from its logs."""
         while True:
--- /dev/null
+++ b/cypressledge/clock.py
@@ -0,0 +1,30 @@
+"""Clocks of the process, and a watch that tells when the wall clock was stepped."""
+
+import time
+
+STEP_LEAST = 50_000  # µs that the wall clock must move against the monotonic one to count as stepped
+
+
+def monotonic_us() -> int:
+    """µs of the monotonic clock (CLOCK_MONOTONIC). No step of the wall clock touches it; it begins anywhere,
+    and processes of one machine read the same value."""
+    return time.monotonic_ns() // 1000
+
+
+def wall_us() -> int:
+    """µs of the Unix clock, which may be stepped at any time, forward or back: never for spans."""
+    return time.time_ns() // 1000
+
+
+class StepWatch:
+    """Compares the wall clock with the monotonic one, look by look."""
+
+    def __init__(self) -> None:
+        self.offset = wall_us() - monotonic_us()
+
+    def look(self) -> int:
+        """µs by which the wall clock was stepped since the last look; 0 where it was not."""
+        offset = wall_us() - monotonic_us()
+        moved = offset - self.offset
+        self.offset = offset
+        return moved if abs(moved) >= STEP_LEAST else 0
--- a/cypressledge/contract.py
+++ b/cypressledge/contract.py
@@ -4,7 +4,7 @@
 """
 
 from dataclasses import dataclass, field
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 
 
 class Effect(IntEnum):
@@ -36,6 +36,26 @@
     OK = 0
 
 
+class Reason(StrEnum):
+    """Why a request ends unserved, or an attempt is called off: for logs and counters."""
+
+    UNKNOWN = "unknown"
+    STOPPING = "broker-stopping"
+    DEADLINE = "deadline"  # the attempt is still out as the client gives up
+    NO_PLACE = "no-place"  # it waited for an engine until the client gives up
+    LATE = "late"  # it would be answered after its aim, and that is worth nothing now
+    ATTEMPTS_USED = "attempts-used"
+    NO_TIME = "no-time-for-retry"
+    RETRY_BUDGET = "retry-budget"
+    WINDOW_OVER = "repeat-window-over"
+    MAY_HAVE_RUN = "may-have-run"
+    RUNAWAY = "runaway"
+    BEHIND_LOAD = "behind-load"
+    ENGINE_SILENT = "engine-silent"
+    ANSWER_LOST = "answer-lost"
+    REQUEST_OVER = "request-over"  # the client left, or has been answered
+
+
 NEVER_RAN = frozenset((Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL))
 
 
@@ -255,6 +275,7 @@
 
     request: int
     attempt: int
+    reason: Reason = field(default=Reason.UNKNOWN, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,6 +283,7 @@
     """End the request; the client may safely come again."""
 
     request: int
+    reason: Reason = field(default=Reason.UNKNOWN, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,6 +291,7 @@
     """End the request with an error; the client is not told whether it ran."""
 
     request: int
+    reason: Reason = field(default=Reason.UNKNOWN, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -12,9 +12,10 @@
 
 from cypressledge.contract import (
     NEVER_RAN, WAITS_FOR_LOAD, Action, Arrival, Cancel, ClientLeft, Effect, Ended, EngineList, Event, Fail,
-    Group, ListKind, Log, Note, NoteKind, Outcome, Probed, Refuse, Send, SetTerms, Settings, State,
+    Group, ListKind, Log, Note, NoteKind, Outcome, Probed, Reason, Refuse, Send, SetTerms, Settings, State,
     Stopping, Subscribe, Timer, TimerFired,
 )
+from cypressledge.retries import RetryBudget, drops_repeats_of, repeat_bar, window_end
 
 MS = 1000  # microseconds
 PERIOD = 2_000 * MS  # sampling period of the PI loop and of the bounds (design page)
@@ -105,6 +106,7 @@
     """The decisions of one gateway: `handle` takes what happened and returns what to do."""
 
     def __init__(self, settings: Settings, seed: int):
+        self.retry_budget = RetryBudget(settings)
         self.configure(settings)
         self.rng = random.Random(seed)
         n = len(settings.classes)
@@ -122,7 +124,6 @@
         self.waits, self.samples, self.seen = [0.0] * n, [0] * n, [0] * n
         self.cost_ratio, self.need_ratio, self.mean_need = [1.0] * n, [1.25] * n, [1.0] * n
         self.usual, self.class_slow = [0.0] * n, [1.0] * n
-        self.taken, self.extra = deque(), deque()
         self.next_period = self.next_sweep = self.wake_at = self.threads = 0
         self.needs = self.lat_sum = self.run_sum = self.big_need = self.mean_run = 0.0
         self.slow, self.rate, self.loads, self.losses, self.hints = 1.0, 1.0, 0.0, 0.0, False
@@ -132,12 +133,14 @@
         self.react = {
             EngineList: self._list, Arrival: self._arrival, Ended: self._ended, Note: self._note,
             ClientLeft: self._left, TimerFired: self._timer, Probed: lambda event: None,
-            Stopping: lambda event: [self._give_up(r) for r in [*self.requests.values()] if not r.over],
+            Stopping: lambda event: [
+                self._give_up(r, Reason.STOPPING) for r in [*self.requests.values()] if not r.over],
         }
 
     def configure(self, settings: Settings) -> None:
         """Take the settings, again where they change; the classes stay the same."""
         self.s, classes = settings, settings.classes
+        self.retry_budget.settings = settings
         self.bound_kinds = frozenset().union(*(k.only_kinds or () for k in classes))
         self.bound_zones = frozenset().union(*(k.only_zones or () for k in classes))
         self.least, self.widest = min(k.threads for k in classes), max(k.threads for k in classes)
@@ -220,8 +223,7 @@
         r.maybe_on = r.avoid = r.terms = None
         self.requests[r.id] = r
         self.asked[r.group] = self.asked.get(r.group, 0.0) + 1.0
-        if self.s.retry_ratio is not None:
-            self.taken.append(self.now)
+        self.retry_budget.take(self.now)
         heappush(self.dues, (r.due - DUE_MARGIN, r.id))
         if spec.in_order and r.key:
             line = self.keys.setdefault(r.key, deque())
@@ -297,9 +299,8 @@
 
     def _left(self, event: ClientLeft) -> None:
         if (r := self.requests.get(event.request)) and not r.over:
-            # Guards against clients that take back hundreds at once: what was never sent feeds no ration.
-            if not r.attempts and self.taken and self.taken[0] <= r.arrived:
-                self.taken.remove(r.arrived)
+            if not r.attempts:
+                self.retry_budget.take_back(r.arrived)
             self._over(r)
 
     def _over(self, r: Request) -> None:
@@ -310,7 +311,7 @@
         if r.engine is None:
             self._forget(r)
         elif self.s.may_cancel and not r.cancelling and r.spec.effect is not Effect.UNSAFE:
-            self._cancel(r)
+            self._cancel(r, Reason.REQUEST_OVER)
 
     def _forget(self, r: Request) -> None:
         del self.requests[r.id]
@@ -323,12 +324,12 @@
             elif first:
                 self._turn(line[0])
 
-    def _give_up(self, r: Request) -> None:
+    def _give_up(self, r: Request, why: Reason) -> None:
         """End the request unserved: refused where that is harmless, failed elsewhere."""
         spec = r.spec
         harmless = spec.effect is Effect.FREE or r.engine is None and (
             r.maybe_at is None or spec.effect is Effect.KEYED and spec.group is Group.ALL)
-        self._do(Refuse(r.id) if harmless else Fail(r.id))
+        self._do(Refuse(r.id, why) if harmless else Fail(r.id, why))
         self._over(r)
 
     def _waited(self, r: Request) -> None:
@@ -353,13 +354,13 @@
             self._forget(r)
         elif a.final:
             self._over(r)
-        elif self._may_retry(r):
+        elif (bar := self._retry_bar(r)) is None:
             r.avoid = e
             if r.spec.effect is Effect.KEYED and r.maybe_at is not None:  # it waits within its window only
-                heappush(self.dues, (r.maybe_at + r.spec.window - 20 * DUE_MARGIN, r.id))
+                heappush(self.dues, (window_end(r.spec, r.maybe_at), r.id))
             self._enqueue(r)
         else:
-            self._give_up(r)
+            self._give_up(r, bar)
 
     def _release(self, e: Engine, r: Request) -> None:
         del e.out[r.id]
@@ -443,21 +444,18 @@
         self.spread += EWMA * (abs(e.load - self.load) - self.spread)
         self.load += EWMA * (e.load - self.load)
 
-    def _may_retry(self, r: Request) -> bool:
-        if r.attempts >= self.s.max_attempts or self.now + r.run > r.due - DUE_MARGIN or not self._budget():
-            return False
-        return r.maybe_at is None or r.spec.effect is Effect.FREE or (
-            r.spec.effect is Effect.KEYED and self.now < r.maybe_at + r.spec.window - 20 * DUE_MARGIN)
+    def _retry_bar(self, r: Request) -> Reason | None:
+        """What keeps the request from another attempt; None where nothing does."""
+        if r.attempts >= self.s.max_attempts:
+            return Reason.ATTEMPTS_USED
+        if self.now + r.run > r.due - DUE_MARGIN:
+            return Reason.NO_TIME
+        if not self.retry_budget.allows(self.now):
+            return Reason.RETRY_BUDGET
+        return repeat_bar(r.spec, r.maybe_at, self.now)
 
-    def _budget(self) -> bool:
-        """One more attempt beyond a request's first is within the ration of the sliding window."""
-        s = self.s
-        if s.retry_ratio is None:
-            return True
-        for past, slack in (self.taken, s.tick + s.send_wait), (self.extra, -s.tick - s.send_wait):
-            while past and past[0] <= self.now - s.retry_window + slack:
-                past.popleft()
-        return len(self.extra) + 1 <= s.retry_free + s.retry_ratio * len(self.taken)
+    def _may_retry(self, r: Request) -> bool:
+        return self._retry_bar(r) is None
 
     def _note(self, note: Note) -> None:
         r = self.requests.get(note.request)
@@ -470,23 +468,23 @@
         if note.kind is NoteKind.PROGRESS:
             rest = age * (1.0 - note.value) / max(note.value, 0.01)
             if rest > RUNAWAY * fresh and age > fresh:
-                self._move(r)
+                self._move(r, Reason.RUNAWAY)
         elif note.kind is NoteKind.WAITS and note.value == WAITS_FOR_LOAD:
             r.engine.seen_held[r.group] = self.now + SEEN_HELD
-            self._move(r)
+            self._move(r, Reason.BEHIND_LOAD)
 
-    def _move(self, r: Request) -> None:
+    def _move(self, r: Request, why: Reason) -> None:
         """Call an attempt off to try elsewhere, where the class may be repeated, and time and ration allow.
 
         Guards against spending the ration on work that is late already and worth little so."""
         if self.now + r.run > r.aim_at and r.spec.late_worth < LITTLE:
             return
         if self.s.may_cancel and r.spec.effect is Effect.FREE and not r.cancelling and self._may_retry(r):
-            self._cancel(r)
+            self._cancel(r, why)
 
-    def _cancel(self, r: Request) -> None:
+    def _cancel(self, r: Request, why: Reason) -> None:
         r.cancelling = True
-        self._do(Cancel(r.id, r.attempts - 1))
+        self._do(Cancel(r.id, r.attempts - 1, why))
 
     def _expected(self, r: Request) -> float:
         """What an attempt of the request should take, as the fleet answers its class now."""
@@ -501,12 +499,18 @@
         while self.dues and self.dues[0][0] <= self.now:
             r = self.requests.get(heappop(self.dues)[1])
             if r and not r.over and (r.waiting or self.now >= r.due - DUE_MARGIN):
-                self._give_up(r)
+                self._give_up(r, self._overdue_reason(r))
         while self.rests and self.rests[0][0] <= self.now:
             r = self.requests.get(heappop(self.rests)[1])
             if r and not r.over and not r.waiting and r.engine is None and self.keys[r.key][0] is r:
                 self._turn(r)
 
+    def _overdue_reason(self, r: Request) -> Reason:
+        """Why a request that has waited, or run, for too long ends."""
+        if not r.waiting:
+            return Reason.DEADLINE
+        return Reason.NO_PLACE if self.now >= r.due - DUE_MARGIN else Reason.WINDOW_OVER
+
     def _sweep(self) -> None:
         """Look at running work: engines under pressure or silent, and work near its aim."""
         self.loads += EWMA / 2 * (sum(sum(e.holds.values()) for e in self.order) - self.loads)
@@ -541,7 +545,7 @@
             if e.held_off:
                 for r in list(e.out.values()):
                     if self.now - r.sent_at > SILENCE_LEAST and not r.over:
-                        self._move(r)
+                        self._move(r, Reason.ENGINE_SILENT)
 
     def _missed(self, e: Engine, r: Request) -> bool:
         """Its answer is lost, and it is called off as far as class and ration allow.
@@ -555,11 +559,11 @@
             self.losses += EWMA / 10 * (1.0 - self.losses) * (not r.lost)
             r.lost = True
             if r.spec.effect is Effect.FREE and self.now + r.run > r.aim_at and r.spec.late_worth < LITTLE:
-                self._give_up(r)
+                self._give_up(r, Reason.ANSWER_LOST)
             elif r.spec.effect is not Effect.UNSAFE and self.s.may_cancel and self._may_retry(r):
-                self._cancel(r)
+                self._cancel(r, Reason.ANSWER_LOST)
         elif self.losses > LOSSES and not r.stands and quiet > OVERDUE * self._expected(r) + OVERDUE_LEAST:
-            self._move(r)
+            self._move(r, Reason.ANSWER_LOST)
         return r.lost
 
     def _may_hold(self) -> bool:
@@ -636,15 +640,15 @@
                 # Guards against a group without a free engine keeping the others of its class waiting.
                 stuck[pick.cls].add(pick.row)
                 continue
-            if pick.attempts and not self._budget():
-                self._give_up(pick)
+            if pick.attempts and not self.retry_budget.allows(self.now):
+                self._give_up(pick, Reason.RETRY_BUDGET)
             else:
                 self._send(pick, e)
 
     def _head(self, c: int, stuck: set[int]) -> Request | None:
         """Shortest first of those that can meet their aim, then the late ones worth serving."""
         for queues, fits, drop in (
-                (self.queues, self._timely, self._late), (self.overdue, self._worthwhile, self._give_up)):
+                (self.queues, self._timely, self._late), (self.overdue, self._worthwhile, self._drop_late)):
             rows = queues[c]
             free = [row for row in rows if row not in stuck]
             for row in free:
@@ -677,7 +681,10 @@
         if r.spec.late_worth and self.now + r.run < r.due and self.slow < PRESSURE:
             self._push(self.overdue, r)
         else:
-            self._give_up(r)
+            self._drop_late(r)
+
+    def _drop_late(self, r: Request) -> None:
+        self._give_up(r, Reason.LATE)
 
     def _choose(self, r: Request) -> Engine | None:
         """The allowed engine with a free place and the fewest own threads a core; ties at random."""
@@ -694,7 +701,7 @@
         for e in self.order:
             if (spec.only_kinds is not None and e.kind not in spec.only_kinds
                     or spec.only_zones is not None and e.zone not in spec.only_zones
-                    or r.maybe_at is not None and not self._same_group(spec, r.maybe_on, e)
+                    or r.maybe_at is not None and not drops_repeats_of(spec, r.maybe_on, e)
                     or e in barred or spec.is_load and not self._line(e, r)
                     or e.held_off and (e.out or self.now < e.trial_at or spec.effect is Effect.UNSAFE)
                     or not self._cold_room(e, r.cls) or not self._place(e, r, spare)):
@@ -759,12 +766,6 @@
         """Memory to reserve: between the mean need and the grant, as rough estimates scatter."""
         return r.memory * (self.mean_need[r.cls] + self.need_ratio[r.cls]) / 2
 
-    @staticmethod
-    def _same_group(spec, first: Engine, e: Engine) -> bool:
-        if spec.effect is not Effect.KEYED or spec.group is Group.ALL:
-            return True
-        return e.zone == first.zone if spec.group is Group.ZONE else e.cell == first.cell
-
     def _cold_room(self, e: Engine, c: int) -> bool:
         """A cold engine's budget takes one more query of the class, by this manager's share of each window.
 
@@ -786,8 +787,8 @@
     def _send(self, r: Request, e: Engine) -> None:
         if r.attempts == 0:
             self._waited(r)
-        elif self.s.retry_ratio is not None:
-            self.extra.append(self.now)
+        else:
+            self.retry_budget.spend(self.now)
         r.attempts += 1
         r.engine, r.sent_at, r.told_at, r.waiting = e, self.now, self.now, False
         r.stands = r.lost = False
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -22,11 +22,13 @@
 from cypressledge import contract as c
 from cypressledge.control import WorkloadManager
 from cypressledge.counters import Counters, log
+from cypressledge.events import EventLog, Kind
 from cypressledge.maintenance import Maintenance
 
 KEY = re.compile(r"[!-+\--~]{1,128}\Z", re.A)  # a client's key: no commas or blanks, it may stand in a list
 ENGINE = re.compile(r"\bengine ([0-9a-f]+)\b")
 OUTCOMES = {"served": "success", "refused": "overload", "failed": "error"}  # the figures' names
+MS = 1_000  # µs
 OVERDUE = 10_000  # µs after the client's time at which the ledger answers what the module did not
 
 
@@ -40,6 +42,11 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=size).digest(), "big")
 
 
+def _state_name(told: tuple[c.State, int] | None) -> str:
+    """How a log names an engine's state; None: no list names it."""
+    return "unlisted" if told is None else told[0].name.lower()
+
+
 @dataclass(slots=True)
 class Query:
     """What a client asks, whatever wire it came by. `due`: µs of the Unix clock when it stops waiting."""
@@ -142,6 +149,7 @@
     sent_at: int
     until: int
     open: bool = True
+    outcome: c.Outcome | None = None
     carrier: object = None
     carried: int = 0  # connections it was put on in vain
     unread: int = 0  # bytes of rows on their way to the core
@@ -172,6 +180,7 @@
 
     def __init__(self, settings: c.Settings, seed: int, counters: Counters) -> None:
         self.settings, self.counters = settings, counters
+        self.log = EventLog(counters)
         self.manager = WorkloadManager(settings, seed)
         # What the configuration sets: the pause that refusals name, and how many requests and bytes of their
         # statements may be open. Beyond, the memory limit is in danger: refused unseen.
@@ -186,6 +195,7 @@
         self.observer: Observer | None = None
         self.shut: Callable[[c.Entry], bool] | None = None
         self.door: Callable[[Query], bool] | None = None
+        self.states: dict[str, tuple[c.State, int]] | None = None  # by engine, with the birth of its process
         self.ready: dict[int, Place] = {}  # engines that take new work, as the lists name them at this moment
         self.requests: dict[int, Request] = {}
         self.names: set[str] = set()
@@ -210,15 +220,9 @@
     def take(self, query: Query, reply: Reply) -> Request | None:
         """Take a query; None, and a refusal at once, if there is no room or the broker is stopping."""
         if not self.taking or len(self.requests) >= self.open_most or self.held > self.held_most:
-            self.counters.add("refused.no_room")
-            self.counters.reply(query.class_name, "overload")
-            reply.refused(self.after_most)
-            return None
+            return self._refuse_unseen(query, reply, "no_room")
         if self.door is not None and not self.door(query):
-            self.counters.add("refused.over_share")
-            self.counters.reply(query.class_name, "overload")
-            reply.refused(self.after_most)
-            return None
+            return self._refuse_unseen(query, reply, "over_share")
         if self.stopping:  # work that would not end in time is refused, so that the client asks elsewhere
             query.due = min(query.due, self.ends_at)
         request = Request(next(self.numbers), query, reply)
@@ -229,6 +233,13 @@
         self._post(self._taken, request)
         return request
 
+    def _refuse_unseen(self, query: Query, reply: Reply, reason: str) -> None:
+        """Turn a query away at the door: the module never hears of it."""
+        self.counters.add(f"refused.{reason}")
+        self.counters.reply(query.class_name, "overload")
+        self.log.write(Kind.REFUSED, request=query.id, **{"class": query.class_name}, reason=reason)
+        reply.refused(self.after_most)
+
     def knows(self, name: str) -> bool:
         """Whether a request of this id is open, or an attempt of it: engines know queries by their ids, so a
         second one of the same id would get the first one's answer."""
@@ -279,9 +290,23 @@
 
     def _tell(self) -> None:
         whole = [(self._entry(p, e), p) for held in self.lists.values() for e, p in held]
+        self._log_engine_states(whole)
         self.ready = {e.engine: p for e, p in whole if e.state is c.State.READY}
         self._post(self._listed, self.last_kind, whole)
 
+    def _log_engine_states(self, whole: list[tuple[c.Entry, Place]]) -> None:
+        """Log which engines come, go, drain or are another process than before; not the first list."""
+        states = {p.name: (e.state, p.born) for e, p in whole}
+        before, self.states = self.states, states
+        if before is None or before == states:
+            return
+        for name in before.keys() | states.keys():
+            was, now = before.get(name), states.get(name)
+            if was != now:
+                told = {} if was is None or now is None or was[1] == now[1] else {"process": "new"}
+                self.log.write(Kind.ENGINE_STATE, engine=name, **told,
+                               **{"from": _state_name(was), "to": _state_name(now)})
+
     def names_engine(self, name: str) -> bool:
         """Whether a list names an engine of this name."""
         return any(p.name == name for held in self.lists.values() for _, p in held)
@@ -396,6 +421,7 @@
         if request.over:
             return
         self.counters.invariant(request.begun is not None, "overdue")
+        self._log_unserved(Kind.FAILED, request, c.Reason.DEADLINE)
         self._answer(request, "failed", LATE)
         self.events.append(c.ClientLeft(request.number))
 
@@ -428,7 +454,12 @@
             return
         request = attempt.request
         self._close(attempt)
+        attempt.outcome = outcome
         self.counters.add(f"attempt.{outcome.name.lower()}")
+        if outcome is not c.Outcome.OK:
+            self.log.write(
+                Kind.ATTEMPT_ENDED, request=request.query.id, attempt=attempt.hop, engine=attempt.place.name,
+                outcome=outcome.name.lower(), after_ms=(self.now() - attempt.sent_at) // MS)
         request.fault = fault or request.fault
         # Guards against two attempts in one answer: once rows went out, only their own attempt counts.
         if not request.over and request.begun in (None, attempt):
@@ -470,9 +501,21 @@
             self.ended(attempt, c.Outcome.MOOT)
             return
         self.counters.add("attempts.first" if attempt.hop == 0 else "attempts.further")
+        if attempt.hop:
+            self._log_retry(attempt)
         self._at(until, self._expired, (request.number, attempt.hop))
         self.links[place.wire].send(attempt)
 
+    def _log_retry(self, attempt: Attempt) -> None:
+        request = attempt.request
+        first, last = request.attempts[0], request.attempts[attempt.hop - 1]
+        outcome = last.outcome.name.lower() if last.outcome is not None else "out"
+        self.counters.add(f"retry_after.{outcome}")
+        self.log.write(
+            Kind.RETRY, request=request.query.id, **{"class": request.query.class_name}, attempt=attempt.hop,
+            engine=attempt.place.name, after=outcome,
+            since_first_ms=(attempt.sent_at - first.sent_at) // MS)
+
     def _terms(self, a: c.SetTerms) -> None:
         if (request := self.requests.get(a.request)) is None:
             return
@@ -486,19 +529,33 @@
         if request is not None and a.attempt < len(request.attempts):
             attempt = request.attempts[a.attempt]
             if request.begun is not attempt or request.over:
+                self.counters.add(f"cancelled.{a.reason}")
+                if attempt.open and a.reason is not c.Reason.REQUEST_OVER:
+                    self.log.write(Kind.CANCELLED, request=request.query.id, attempt=attempt.hop,
+                                   engine=attempt.place.name, reason=a.reason)
                 self._stop(attempt, c.Outcome.CANCELLED)
 
     def _refuse(self, a: c.Refuse) -> None:
         if (request := self.requests.get(a.request)) is not None and not request.over:
             if request.begun is None:
+                self._log_unserved(Kind.REFUSED, request, a.reason)
                 self._answer(request, "refused", self.after_most)
             else:  # rows went out: refusing would be a lie
+                self._log_unserved(Kind.FAILED, request, a.reason)
                 self._answer(request, "failed", LATE)
 
     def _fail(self, a: c.Fail) -> None:
         if (request := self.requests.get(a.request)) is not None and not request.over:
+            self._log_unserved(Kind.FAILED, request, a.reason)
             self._answer(request, "failed", request.fault or LATE)
 
+    def _log_unserved(self, kind: Kind, request: Request, reason: c.Reason) -> None:
+        query = request.query
+        self.counters.add(f"{kind}.{reason}")
+        self.log.write(
+            kind, request=query.id, **{"class": query.class_name}, reason=reason,
+            attempts=len(request.attempts), left_ms=(query.due - self.now()) // MS)
+
     def _timer(self, a: c.Timer) -> None:
         self._at(self.last + a.after, self._fire, a.token)
 
--- /dev/null
+++ b/cypressledge/events.py
@@ -0,0 +1,68 @@
+"""What happens to requests, attempts, connections and engines, as log lines of the form `event key=value …`.
+
+`at` is the monotonic clock, in seconds since the program's start: lines can be told apart in time whatever is
+done to the wall clock. Each kind of event has a bounded rate, so that trouble does not make more trouble.
+"""
+
+from enum import StrEnum
+
+from cypressledge.clock import monotonic_us
+from cypressledge.counters import Counters, log
+
+SECOND = 1_000_000  # µs
+LINES_MOST = 10  # lines a second of one kind of event; what is beyond is counted, and told with the next line
+
+
+class Kind(StrEnum):
+    """The events, by the first word of their lines."""
+
+    ATTEMPT_ENDED = "attempt-ended"
+    CANCELLED = "attempt-cancelled"
+    CLOCK_STEPPED = "clock-stepped"
+    CLIENT_CLOSED = "client-closed"
+    ENGINE_CLOSED = "engine-connection-closed"
+    ENGINE_STATE = "engine-state"
+    FAILED = "request-failed"
+    REFUSED = "request-refused"
+    RETRY = "retry"
+
+
+class _Rate:
+    """Lines of one kind in the running second."""
+
+    __slots__ = ("since", "lines", "held_back")
+
+    def __init__(self) -> None:
+        self.since = self.lines = self.held_back = 0
+
+    def admits(self, now: int) -> bool:
+        """Whether one more line fits."""
+        if now - self.since >= SECOND:
+            self.since, self.lines = now, 0
+        self.lines += 1
+        if self.lines > LINES_MOST:
+            self.held_back += 1
+            return False
+        return True
+
+
+class EventLog:
+    """Writes events to the log, and counts those that it holds back as `events.held_back`."""
+
+    def __init__(self, counters: Counters) -> None:
+        self.counters = counters
+        self.started = monotonic_us()
+        self.rates = {kind: _Rate() for kind in Kind}
+
+    def write(self, kind: Kind, **fields: object) -> None:
+        """One event; a field's value must hold no blanks."""
+        now = monotonic_us()
+        rate = self.rates[kind]
+        if not rate.admits(now):
+            self.counters.add("events.held_back")
+            return
+        if rate.held_back:
+            fields["held_back"] = rate.held_back
+            rate.held_back = 0
+        told = " ".join(f"{name}={value}" for name, value in fields.items())
+        log(f"{kind} at={(now - self.started) / SECOND:.3f} {told}")
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import errno
 import json
 import re
 
@@ -10,6 +11,7 @@
 from cypressledge.contract import Effect
 from cypressledge.core import Core, Fault, Query, Request, clock
 from cypressledge.counters import Counters
+from cypressledge.events import Kind
 from cypressledge.net.buffer import Buffer, TooLong
 from cypressledge.net.stream import (
     DRAIN, FIRST, Crowd, Idle, Listener, Writer, drain, end, fill, left, missed, shut, unread,
@@ -32,6 +34,7 @@
 NUMBER_MOST = 1 << 53
 SKIPPED_MOST = 1024  # ids that a connection may have used out of order
 KEYS = re.compile(r"[0-9A-Za-z_.:/+~-]{1,128}\Z", re.A)
+ORDINARY_CLOSES = frozenset(("by-client", "idle"))
 REFUSED = -32066
 FAILED = -32000
 PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
@@ -119,6 +122,7 @@
         # On the way to its end: `retiring` once nothing is owed any more, `deaf` to all that still comes.
         self.retiring, self.deaf, self.reading = front.retiring, False, False
         self.shut_at = 0
+        self.close_reason = "by-client"
         front.clients.add(self)
 
     def run(self) -> None:
@@ -129,10 +133,11 @@
                 pass
         except (BadFrame, TooLong) as err:
             self.counters.add("bad_frames")
+            self.close_reason = "bad-frame"
             self._error(None, INVALID, f"bad framing: {err}")
             self._wind_up()
-        except OSError:
-            pass
+        except OSError as err:
+            self.close_reason = errno.errorcode.get(err.errno, "error")
         finally:
             self._leave()
 
@@ -147,6 +152,7 @@
             # Guards against closing on a request that comes in this moment: it is answered first.
             if not self.shut_at:
                 self.counters.add("clients.idle")
+                self.close_reason = "idle"
                 self.retire()
                 return True
             return False
@@ -233,20 +239,31 @@
 
     def let_go(self) -> None:
         """Make room for another client: what has been asked is answered, and nothing more is heard."""
+        self.close_reason = "room-for-others"
         self.front.clients.let_go(self)
         self.retire()
 
     def _gone(self, why: str) -> None:
         self.counters.add("clients_cut")
+        self.close_reason = "not-read"
         end(self.sock)
 
     def _leave(self) -> None:
+        self._log_close()
         for call in list(self.open.values()):
             call.leave()
         self.front.clients.discard(self)
         self.writer.close()
         end(self.sock)
 
+    def _log_close(self) -> None:
+        """Ordinary ends, by a client that is owed nothing, are only counted."""
+        self.counters.add(f"clients_closed.{self.close_reason}")
+        if self.open or self.close_reason not in ORDINARY_CLOSES:
+            requests = ",".join(c.request.query.id for c in self.open.values() if c.request) or "-"
+            self.core.log.write(Kind.CLIENT_CLOSED, reason=self.close_reason, open=len(self.open),
+                                requests=requests)
+
     @staticmethod
     def _frame(buffer: Buffer) -> bytes | None:
         head = buffer.peek(b"\r\n\r\n", HEAD_MOST)
@@ -330,6 +347,8 @@
         if full:  # no client that keeps to the protocol gets here
             self.faults += 1
             self.counters.add("refused.connection_full")
+            self.core.log.write(Kind.REFUSED, request=query.id, **{"class": query.class_name},
+                                reason="connection_full")
             self.counters.reply(query.class_name, "overload")
             call.refused(self.core.after_most)
         else:
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -9,6 +9,7 @@
 from cypressledge.config import Limits
 from cypressledge.contract import NoteKind, Outcome
 from cypressledge.core import Attempt, Core, Place, clock
+from cypressledge.events import Kind
 from cypressledge.net.buffer import READ, Buffer, TooLong
 from cypressledge.net.stream import Idle, Writer, dial, end, ended, fill, left, unread
 
@@ -309,7 +310,7 @@
         if self.closed:
             return
         self.closed = True
-        self.core.counters.add(f"engine_close.{why.split(':')[0].replace(' ', '_')}")
+        self._log_close(why)
         self.link.drop(self)
         for exchange in list(self.exchanges.values()):
             if exchange.sent or outcome is not Outcome.RESET:
@@ -324,6 +325,14 @@
         else:
             self.greenlet.kill(block=False)  # still dialling
 
+    def _log_close(self, why: str) -> None:
+        cause, _, detail = why.partition(":")
+        cause = cause.replace(" ", "_")
+        self.core.counters.add(f"engine_close.{cause}")
+        self.core.log.write(
+            Kind.ENGINE_CLOSED, engine=self.place.name, reason=cause, open=len(self.exchanges),
+            unused_ms=(clock() - self.used) // 1000, detail=repr(detail.strip()))
+
     def _run(self) -> None:
         patience = self.link.limits.connect_s
         overdue = spawn_later(patience, self._overdue)
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,73 @@
+"""What the log tells of retries, refusals, closes and engines, with the request's id and the reason."""
+
+from cypressledge.counters import Counters
+from cypressledge.events import LINES_MOST, EventLog, Kind
+from tests.stands import Case, LineEngine, failing, hang_up, until, whole
+
+
+def fields(line):
+    return dict(pair.split("=", 1) for pair in line.split()[1:] if "=" in pair)
+
+
+class Events(Case):
+    def events(self, broker, kind, least=1):
+        """The fields of all events of a kind, once there are so many."""
+        def found():
+            lines = [fields(w) for w in broker.words().splitlines() if w.startswith(f"{kind} ")]
+            return lines if len(lines) >= least else None
+        return until(found, f"{least} events {kind}")
+
+    def test_a_retry_names_its_request_and_what_it_follows(self):
+        def play(engine, say, name, fields, statement):
+            if len(first.wants) + len(second.wants) == 1:
+                hang_up(engine.wants[0][0])
+            else:
+                whole(engine, say, name, fields, statement)
+
+        first, second = self.engine(play, name="s-1"), self.engine(play, name="s-2")
+        broker = self.broker(first, second)
+        client = self.client(broker)
+        client.ask("order-load", wait=20_000, once="k-1")
+        self.assertIn("result", client.get())
+        name = (first.wants + second.wants)[0][1]
+        (retry,) = self.events(broker, "retry")
+        self.assertEqual((retry["request"], retry["class"], retry["after"]), (name, "order-load", "reset"))
+        self.assertGreaterEqual(int(retry["since_first_ms"]), 0)
+        (ended,) = self.events(broker, "attempt-ended")
+        self.assertEqual((ended["request"], ended["outcome"]), (name, "reset"))
+        (closed,) = self.events(broker, "engine-connection-closed")
+        self.assertEqual((closed["reason"], closed["open"]), ("closed_by_engine", "1"))
+
+    def test_a_refusal_names_its_request_and_why(self):
+        broker = self.broker(self.engine(failing("503")))
+        client = self.client(broker)
+        client.ask(wait=400)
+        self.assertEqual(client.get()["error"]["code"], -32066)
+        (refused,) = self.events(broker, "request-refused")
+        self.assertRegex(refused["request"], r"\A[0-9a-f]{16}\Z")
+        self.assertIn(refused["reason"], ("late", "no-place", "no-time-for-retry"))
+
+    def test_engines_that_come_and_drain_are_told(self):
+        engine, other = self.engine(), self.engine(kind=LineEngine, name="s-2")
+        broker = self.broker(engine)
+        broker.dns.engines = {"s-1": (engine.port, 1), "s-2": (other.port, 0)}
+        broker.relist(2)
+        changes = {e["engine"]: (e["from"], e["to"]) for e in self.events(broker, "engine-state", 2)}
+        self.assertEqual(changes, {"s-1": ("ready", "draining"), "s-2": ("unlisted", "ready")})
+
+
+def test_a_burst_of_one_kind_is_held_back_and_counted(capsys, monkeypatch):
+    now = 5_000_000
+    monkeypatch.setattr("cypressledge.events.monotonic_us", lambda: now)
+    counters = Counters()
+    events = EventLog(counters)
+    for n in range(3 * LINES_MOST):
+        events.write(Kind.RETRY, request=n)
+    events.write(Kind.REFUSED, request="other")
+    now += 1_000_000
+    events.write(Kind.RETRY, request="later")
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == LINES_MOST + 2
+    assert counters.counts["events.held_back"] == 2 * LINES_MOST
+    assert lines[-2] == "request-refused at=0.000 request=other"
+    assert lines[-1] == f"retry at=1.000 request=later held_back={2 * LINES_MOST}"
