Incident reproduced on real processes: repeats after their window under a stepped wall clock

Change: a shim of our own (tests/shims/wall_clock.c, built by the system's compiler, preloaded into the program under test) steps CLOCK_REALTIME from outside; the monotonic clock runs on. Three tests fail and stand in KNOWN-RED.txt; conftest expects them to fail, prints them, and fails the run when one passes. reset() moved from test_bad_orders to stands, as two files use it. Measured: a keyed request with a window of 2 s, reset at its engine before a step of -5 s or -3600 s, was sent again after the window; 60 requests taken over a second ago bought further attempts after a step of -5 s. Steps forward break neither.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,22 @@
-"""Hypothesis runs the same examples every time; tests that are ended by a signal end what they started."""
+"""Hypothesis runs the same examples every time; tests that are ended by a signal end what they started; known
+failures are told from new ones (known_red.py)."""
 
 import signal
 import sys
 
+import pytest
 from hypothesis import settings
 
+from tests.known_red import known_red
+
 settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=40)
 settings.load_profile("fixed")
 signal.signal(signal.SIGTERM, lambda got, _: sys.exit(128 + got))
+
+
+def pytest_collection_modifyitems(items):
+    """Tests in KNOWN-RED.txt are expected to fail, and must: one that passes fails the run."""
+    causes = known_red()
+    for item in items:
+        if item.nodeid in causes:
+            item.add_marker(pytest.mark.xfail(strict=True, reason=f"KNOWN-RED: {causes[item.nodeid]}"))
--- a/tests/stands.py
+++ b/tests/stands.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -119,6 +120,12 @@
     return int(top.split()[1]), rest
 
 
+def reset(sock):
+    """Close so that the peer meets a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
 def page(n):
     return b"%d\tpage\t\xc3\xa9\n" % n
 
--- a/tests/test_bad_orders.py
+++ b/tests/test_bad_orders.py
@@ -7,7 +7,6 @@
 import resource
 import signal
 import socket
-import struct
 import tempfile
 import threading
 import time
@@ -16,7 +15,7 @@
 
 from tests.stands import (
     ROW, SETTINGS, WAIT, Case, LineEngine, NameServer, content, failing, free_port, hang_up, held, http, page,
-    silent, until, whole,
+    reset, silent, until, whole,
 )
 
 FIGURES = {"ROUTER_FIGURES_S": "0.05"}
@@ -35,12 +34,6 @@
 UNSAFE = {"lookup": "single_shot"}
 
 
-def reset(sock):
-    """Close so that the peer meets a reset."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-
-
 class Leaving(Case):
     """A client that closed or cancelled has gone: what has not begun never does."""
 
--- /dev/null
+++ b/tests/wall_clock.py
@@ -0,0 +1,50 @@
+"""A wall clock for a program under test alone, which the test steps while it runs (shims/wall_clock.c)."""
+
+import functools
+import struct
+import subprocess
+import tempfile
+from pathlib import Path
+
+SOURCE = Path(__file__).parent / "shims" / "wall_clock.c"
+NS = 1_000_000_000
+
+
+@functools.cache
+def shim() -> Path:
+    """The library, built once a test process by the system's C compiler."""
+    folder = tempfile.TemporaryDirectory(prefix="wall-clock-")
+    shim.folder = folder  # kept, and taken away with the test process
+    library = Path(folder.name) / "wall_clock.so"
+    subprocess.run(["cc", "-shared", "-fPIC", "-O2", "-Wall", "-Werror", "-o", library, SOURCE, "-ldl"],
+                   check=True)
+    return library
+
+
+class WallClock:
+    """The clock; `env` is what the program's environment needs."""
+
+    def __init__(self, folder: Path, ahead_s: float = 0.0) -> None:
+        self.path = folder / "wall-clock"
+        self.ahead_s = self.alternate_s = 0.0
+        self.path.write_bytes(struct.pack("qq", 0, 0))
+        self.file = open(self.path, "r+b", buffering=0)
+        self.step(ahead_s)
+        self.env = {"LD_PRELOAD": str(shim()), "WALL_CLOCK": str(self.path)}
+
+    def step(self, seconds: float) -> None:
+        """Step the clock, forward or back."""
+        self.ahead_s += seconds
+        self._write()
+
+    def alternate(self, seconds: float) -> None:
+        """From now on, step it between any two reads: forward by so much, and back."""
+        self.alternate_s = seconds
+        self._write()
+
+    def _write(self) -> None:
+        self.file.seek(0)
+        self.file.write(struct.pack("qq", round(self.ahead_s * NS), round(self.alternate_s * NS)))
+
+    def close(self) -> None:
+        self.file.close()
