Incident's test: the engine really ends the connection, and the repeat is seen after its window

The test landed in failed for a wrong reason: closing the stand-in's socket left it open (its reader held it), so the connection was never reset, and the test waited in vain for the attempt's end. Now the connection ends.

--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.stands import SETTINGS, Case, failing, reset, silent, until, whole
+from tests.stands import SETTINGS, Case, failing, hang_up, silent, until, whole
 from tests.wall_clock import WallClock
 
 WINDOW_S = 2.0  # in which engines drop repeats of a keyed request, here
@@ -65,8 +65,8 @@
     first_sent = time.monotonic()
     take_out(broker, engine, 2)
     stage.clock.step(step)
-    reset(engine.wants[0][0])
-    broker.said("attempt-ended")
+    hang_up(engine.wants[0][0])
+    broker.said("outcome=reset")
     window_over = first_sent + WINDOW_S
     until(lambda: time.monotonic() > window_over, "the window's end")
     engine.play = whole
