All spans are measured on the monotonic clock; a start counts from when it is heard of

Need: a step of the wall clock moved or froze every span of the broker (the incident). Cause: core.clock() was time.time_ns(), read by 47 lines of core, links, fronts, directory and broker; Core.now() held it at its highest value, so after a step back the module's time stood still for as long as the step was wide. Change: clock.monotonic_us() everywhere. A start told by a list (Unix time of another machine) only tells one process from another; it counts from when this broker hears of it (starts.py). A return from maintenance is kept on the monotonic clock, and clamped where it is still to come. The window of a keyed repeat is looked at again as a place comes free, and an attempt leaves within 0.5 s of the decision, also on the ClickHouse link, or never does.

--- a/cypressledge/broker.py
+++ b/cypressledge/broker.py
@@ -16,16 +16,16 @@
 import gevent
 from gevent.event import Event
 
-from cypressledge.clock import StepWatch
+from cypressledge.clock import StepWatch, monotonic_us
 from cypressledge.config import Config, ConfigError, read_config
 from cypressledge.contract import ListKind, Settings
-from cypressledge.core import Core, clock
+from cypressledge.core import SEND_WAIT, Core
 from cypressledge.counters import Counters, log
 from cypressledge.events import Kind
 from cypressledge.net.buffer import GROWN
 from cypressledge.net.directory import Catalogue, Directory, Listed
 from cypressledge.net.jsonrpc import Front
-from cypressledge.net.lines import UNSENT_MOST, LinesLink
+from cypressledge.net.lines import LinesLink
 from cypressledge.net.management import CALLERS_LEAST, CALLERS_MOST, Kept, Management, figures
 from cypressledge.net.stream import QUEUED
 from cypressledge.service import Service, ServiceConfig, read_service
@@ -45,7 +45,7 @@
     """The module's settings. Guards against ClickHouse engines being taken for ones that lose answers: they
     tell nothing of a query whose rows are on their way, or of which they don't know the share done."""
     notes = config.settings.notes if service is None else 0
-    return replace(config.settings, notes=notes, send_wait=UNSENT_MOST)
+    return replace(config.settings, notes=notes, send_wait=SEND_WAIT)
 
 
 class Broker:
@@ -196,7 +196,7 @@
             heeded[signal.Signals(number)]()
         self.stopping.wait()
         log("stopping: no longer healthy, still serving")
-        self.core.stop(clock() + self._grace())
+        self.core.stop(monotonic_us() + self._grace())
         if self.fleet is not None:
             self.fleet.stop()
         if self.control is not None:
@@ -211,7 +211,7 @@
         self.front.retire()
         while any(not r.over for r in self.core.requests.values()):
             gevent.sleep(0.02)
-        until = min(LAST_WORDS, (self.core.ends_at + HURRY - clock()) / 1e6 - SPARE)
+        until = min(LAST_WORDS, (self.core.ends_at + HURRY - monotonic_us()) / 1e6 - SPARE)
         for front in self.fronts:
             front.flush(max(until, 0.0))
         self.counters.print("exit")
--- a/cypressledge/clock.py
+++ b/cypressledge/clock.py
@@ -2,13 +2,14 @@
 
 import time
 
+BEGINNING = 1 << 50  # µs, 35 years: what the clock is taken to read at boot, so that 0 can stand for "never"
 STEP_LEAST = 50_000  # µs that the wall clock must move against the monotonic one to count as stepped
 
 
 def monotonic_us() -> int:
-    """µs of the monotonic clock (CLOCK_MONOTONIC). No step of the wall clock touches it; it begins anywhere,
-    and processes of one machine read the same value."""
-    return time.monotonic_ns() // 1000
+    """µs of the monotonic clock (CLOCK_MONOTONIC), by which all spans are measured: no step of the wall clock
+    touches it. Processes of one machine read the same value, until it boots anew; 0 is always long ago."""
+    return BEGINNING + time.monotonic_ns() // 1000
 
 
 def wall_us() -> int:
--- a/cypressledge/control.py
+++ b/cypressledge/control.py
@@ -450,6 +450,10 @@
             return Reason.ATTEMPTS_USED
         if self.now + r.run > r.due - DUE_MARGIN:
             return Reason.NO_TIME
+        return self._repeat_bar(r)
+
+    def _repeat_bar(self, r: Request) -> Reason | None:
+        """What keeps another attempt from leaving now: asked again when a place comes free, maybe late."""
         if not self.retry_budget.allows(self.now):
             return Reason.RETRY_BUDGET
         return repeat_bar(r.spec, r.maybe_at, self.now)
@@ -640,8 +644,8 @@
                 # Guards against a group without a free engine keeping the others of its class waiting.
                 stuck[pick.cls].add(pick.row)
                 continue
-            if pick.attempts and not self.retry_budget.allows(self.now):
-                self._give_up(pick, Reason.RETRY_BUDGET)
+            if pick.attempts and (bar := self._repeat_bar(pick)) is not None:
+                self._give_up(pick, bar)
             else:
                 self._send(pick, e)
 
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -8,7 +8,6 @@
 import hashlib
 import itertools
 import re
-import time
 import traceback
 from collections import deque
 from collections.abc import Callable
@@ -20,6 +19,7 @@
 from gevent.event import Event
 
 from cypressledge import contract as c
+from cypressledge.clock import monotonic_us
 from cypressledge.control import WorkloadManager
 from cypressledge.counters import Counters, log
 from cypressledge.events import EventLog, Kind
@@ -29,14 +29,10 @@
 ENGINE = re.compile(r"\bengine ([0-9a-f]+)\b")
 OUTCOMES = {"served": "success", "refused": "overload", "failed": "error"}  # the figures' names
 MS = 1_000  # µs
+SEND_WAIT = 500_000  # µs from its decision in which an attempt leaves, or never does: the module's margin
 OVERDUE = 10_000  # µs after the client's time at which the ledger answers what the module did not
 
 
-def clock() -> int:
-    """The Unix clock in µs: the module's time."""
-    return time.time_ns() // 1000
-
-
 def stable(text: str, size: int = 6) -> int:
     """A number for a name that is the same at every broker and every start (never `hash()`)."""
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=size).digest(), "big")
@@ -49,7 +45,8 @@
 
 @dataclass(slots=True)
 class Query:
-    """What a client asks, whatever wire it came by. `due`: µs of the Unix clock when it stops waiting."""
+    """What a client asks, whatever wire it came by. `due`: µs of the monotonic clock when it stops
+    waiting."""
 
     id: str
     cls: int
@@ -148,6 +145,7 @@
     place: Place
     sent_at: int
     until: int
+    decided_at: int  # the module's time of the decision, on which windows and budgets were judged
     open: bool = True
     outcome: c.Outcome | None = None
     carrier: object = None
@@ -159,6 +157,11 @@
         """Whether anybody still waits for it."""
         return self.open and not (self.request.over or self.request.left)
 
+    def may_leave(self, now: int) -> bool:
+        """Whether it is still wanted, and as fresh as the module took it to be when it judged window and
+        budget. Guards against connections that come up late, and processes that stood still meanwhile."""
+        return self.wanted and now - self.decided_at <= SEND_WAIT
+
     @property
     def query(self) -> Query:
         """The query it carries."""
@@ -320,7 +323,7 @@
         self._post(self._reconfigured, settings)
 
     def stop(self, ends_at: int) -> None:
-        """The process ends. All that is open is answered by then (µs of the Unix clock)."""
+        """The process ends. All that is open is answered by then (µs of the monotonic clock)."""
         self.stopping, self.ends_at = True, ends_at
         self._post(self._at, ends_at, self._ending, None)
 
@@ -353,10 +356,11 @@
             while self.alarms and self.alarms[0][0] <= now:
                 _, _, what, arg = heappop(self.alarms)
                 self._guarded(what, arg)
-            self._decide(max(now, self.last))
+            self._decide(now)
 
     def _decide(self, now: int) -> None:
-        self.last = now
+        """Hand the module its events. `now` may have been read before the last decision was taken."""
+        self.last = now = max(now, self.last)
         if self.events:
             events, self.events = self.events, []
             for action in self._guarded(self.manager.handle, now, events) or ():
@@ -372,16 +376,16 @@
             return None
 
     def now(self) -> int:
-        """The module's clock never steps back, even where the system's does."""
-        return max(clock(), self.last)
+        """The module's time, µs of the monotonic clock."""
+        return monotonic_us()
 
     def _wait(self) -> None:
         self.woken.clear()
         if not self.inbox:
-            until = self.alarms[0][0] - clock() if self.alarms else 1_000_000
+            until = self.alarms[0][0] - monotonic_us() if self.alarms else 1_000_000
             if until > 0:
                 self.woken.wait(until / 1e6)
-        pause = self.last + self.settings.tick - clock()
+        pause = self.last + self.settings.tick - monotonic_us()
         sleep(min(max(pause, 0), self.settings.tick) / 1e6)
 
     def _at(self, when: int, what: Callable, arg: object) -> None:
@@ -491,7 +495,7 @@
             self.events.append(c.Ended(a.request, 0, a.engine, c.Outcome.MOOT, True, 0))
             return
         until = min(request.query.due, now + a.timeout) if a.timeout else request.query.due
-        attempt = Attempt(request, len(request.attempts), place, now, until)
+        attempt = Attempt(request, len(request.attempts), place, now, until, self.last)
         request.attempts.append(attempt)
         request.open += 1
         many = attempt.hop >= self.settings.max_attempts
--- a/cypressledge/fleet/zones.py
+++ b/cypressledge/fleet/zones.py
@@ -294,7 +294,7 @@
                     engines[entry.engine] = zone
                 elif region and zone in region:
                     engines[entry.engine] = region[zone]
-                if entry.state is not c.State.READY or clock - entry.born < CHANGING:
+                if entry.state is not c.State.READY or entry.born and clock - entry.born < CHANGING:
                     changing.add(entry.engine)
         return told, engines, frozenset(changing)
 
--- a/cypressledge/lab/zonesize.py
+++ b/cypressledge/lab/zonesize.py
@@ -150,7 +150,7 @@
         if isinstance(action, c.Send):
             request = self.requests[action.request]
             attempt = Attempt(request, len(request.attempts), self.world.places[action.engine], now,
-                              request.query.due)
+                              request.query.due, now)
             request.attempts.append(attempt)
             self.world.send(self, attempt)
         elif isinstance(action, c.Timer):
--- a/cypressledge/maintenance.py
+++ b/cypressledge/maintenance.py
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True)
 class Maintenance:
-    """Engines out by hand, by name; and those put back, with when (µs)."""
+    """Engines out by hand, by name; and those put back, with when (µs of the monotonic clock)."""
 
     out: set[str] = field(default_factory=set)
     back: dict[str, int] = field(default_factory=dict)
@@ -58,10 +58,12 @@
         return json.dumps({"out": sorted(self.out), "back": self.back}).encode()
 
     @classmethod
-    def load(cls, raw: bytes) -> "Maintenance":
-        """As it was kept; what can't be read is an empty set."""
+    def load(cls, raw: bytes, now: int) -> "Maintenance":
+        """As it was kept; what can't be read is an empty set. `now` is the monotonic clock, µs: a return that
+        is still to come was kept before the machine booted, or on another clock, and counts as just now."""
         try:
             kept = json.loads(raw)
-            return cls({str(n) for n in kept["out"]}, {str(n): int(t) for n, t in kept["back"].items()})
+            back = {str(n): min(int(t), now) for n, t in kept["back"].items()}
+            return cls({str(n) for n in kept["out"]}, back)
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
             return cls()
--- a/cypressledge/net/clickhouse.py
+++ b/cypressledge/net/clickhouse.py
@@ -12,9 +12,10 @@
 import httptools
 from gevent import Timeout, select, sleep, socket, spawn
 
+from cypressledge.clock import monotonic_us
 from cypressledge.config import Limits
 from cypressledge.contract import Effect, NoteKind, Outcome
-from cypressledge.core import KEY, LATE, Attempt, Core, Fault, Place, Query, Request, clock
+from cypressledge.core import KEY, LATE, Attempt, Core, Fault, Place, Query, Request
 from cypressledge.net.buffer import Buffer
 from cypressledge.net.http import Exchange, HttpRequest, HttpServer
 from cypressledge.net.stream import dial, end
@@ -134,7 +135,7 @@
 
     def _read(self, r: HttpRequest, tenant: Tenant) -> Query:
         _check(r)
-        now = clock()
+        now = monotonic_us()
         statement = _statement(r)
         text = statement.decode("utf-8", "replace")
         if r.method == "GET" and WRITES.match(text):
@@ -337,7 +338,7 @@
 
     def keep(self, place: Place, sock) -> None:
         """Keep a connection for the next exchange."""
-        self.free.setdefault(place, deque()).append((sock, clock()))
+        self.free.setdefault(place, deque()).append((sock, monotonic_us()))
 
     def close(self, sock) -> None:
         """A connection is no more."""
@@ -346,7 +347,7 @@
 
     def tend(self) -> None:
         """Close what has been idle for long or leads to an engine that takes nothing new."""
-        limit = clock() - int(self.limits.idle_s * 1e6)
+        limit = monotonic_us() - int(self.limits.idle_s * 1e6)
         for place, kept in list(self.free.items()):
             while kept and (kept[0][1] < limit or not self.core.current(place)):
                 self.close(kept.popleft()[0])
@@ -416,10 +417,11 @@
     def _exchange(self) -> tuple[Outcome, Fault | None]:
         place = self.attempt.place
         self.sock = self.link.idle_one(place) or self.link.connect(place)
-        if self.cancelled or not self.attempt.wanted or not self.core.current(place):
+        fresh = self.attempt.may_leave(monotonic_us())
+        if self.cancelled or not fresh or not self.core.current(place):
             return Outcome.MOOT, None  # nothing has left: a drain, a cancel or the client's end overtook it
         self.sent = True
-        with Timeout(max((self.attempt.until - clock()) / 1e6, 0.001)):
+        with Timeout(max((self.attempt.until - monotonic_us()) / 1e6, 0.001)):
             self.sock.sendall(self._message(self._settings(), self.attempt.query.statement))
         self.core.counters.reply(self.attempt.query.class_name, "dispatches")
         buffer = Buffer(READ_MOST, first=READ_MOST)
@@ -441,7 +443,7 @@
 
     def _settings(self) -> dict[str, str]:
         a, q = self.attempt, self.attempt.query
-        left = max(a.until - clock(), 1000) / 1e6
+        left = max(a.until - monotonic_us(), 1000) / 1e6
         settings = {
             "query_id": q.id, "workload": q.class_name, "max_execution_time": f"{left:.3f}",
             "priority": str(LANES[a.request.priority]), "default_format": "TabSeparated",
--- a/cypressledge/net/directory.py
+++ b/cypressledge/net/directory.py
@@ -11,9 +11,11 @@
 from gevent import Timeout, socket
 from gevent.event import Event
 
+from cypressledge.clock import monotonic_us
 from cypressledge.contract import Entry, ListKind, State
-from cypressledge.core import Core, Place, clock, stable
+from cypressledge.core import Core, Place, stable
 from cypressledge.counters import log
+from cypressledge.starts import Starts
 
 NAME = "_app._tcp.cluster.lan"
 PERIOD = 0.4  # seconds between polls: what an answer holds counts as told, so it must not wait for long
@@ -38,7 +40,7 @@
     kind: str = ""
     zone: str = ""
     cell: int = 0
-    born_ms: int = 0
+    born_ms: int = 0  # Unix time at which its process started, as told; 0 is long ago
 
 
 class Catalogue:
@@ -47,6 +49,7 @@
     def __init__(self, kinds: tuple[str, ...], zones: tuple[str, ...], wire: str) -> None:
         self.wire = wire
         self.told: tuple[ListKind, list[Listed]] | None = None
+        self.starts = Starts()
         self.name(kinds, zones)
 
     def name(self, kinds: tuple[str, ...], zones: tuple[str, ...]) -> None:
@@ -64,13 +67,15 @@
     def pair(self, e: Listed) -> tuple[Entry, Place]:
         """An engine as the module knows it, and where it listens."""
         number = stable(e.name)
+        started = self.starts.heard(e.name, e.born_ms, monotonic_us())
         entry = Entry(number, e.state, self.kinds.get(e.kind, 0), self.zones.get(e.zone, 0),
-                      e.cell, e.born_ms * 1000)
+                      e.cell, started)
         return entry, Place(number, e.name, (e.host, e.port), self.wire, e.born_ms)
 
     def tell(self, core: Core, kind: ListKind, engines: Iterable[Listed]) -> None:
         """Hand the whole list to the core."""
         self.told = kind, list(engines)
+        self.starts.keep({e.name for e in self.told[1]})
         core.listed(self.wire, kind, list(map(self.pair, self.told[1])))
 
 
@@ -103,7 +108,7 @@
     def run(self) -> None:
         """Poll, and log what changes about the server itself."""
         while True:
-            began = clock()
+            began = monotonic_us()
             self.moved.clear()
             if self.server is None:
                 self.moved.wait()
@@ -113,7 +118,7 @@
                 self._reached()
             except Exception as err:  # whatever a datagram holds, the next one may be good
                 self._missed(err)
-            self.moved.wait(max(PERIOD - (clock() - began) / 1e6, 0.05))
+            self.moved.wait(max(PERIOD - (monotonic_us() - began) / 1e6, 0.05))
 
     def move(self, server: tuple[str, int] | None) -> None:
         """Ask another server from now on, the first time at once."""
@@ -138,13 +143,13 @@
                 if self.server != server:
                     break  # moved meanwhile: the next poll asks the new one
                 sock.send(wire)
-                until = clock() + int(patience * 1e6)
+                until = monotonic_us() + int(patience * 1e6)
                 while (raw := _answer(sock, until)) is not None and self.server == server:
                     try:
                         if raw[:2] == wire[:2]:
                             return read(raw)
                     except Exception as err:
-                        fault, until = err, min(until, clock() + int(SPOILT * 1e6))
+                        fault, until = err, min(until, monotonic_us() + int(SPOILT * 1e6))
                         self.core.counters.add(f"{self.name}_spoilt")
         raise fault
 
@@ -162,7 +167,7 @@
 
 def _answer(sock, until: int) -> bytes | None:
     """The next datagram, whatever it holds; None if none came in time."""
-    with Timeout(max(until - clock(), 1000) / 1e6, False):
+    with Timeout(max(until - monotonic_us(), 1000) / 1e6, False):
         return sock.recv(65535)
     return None
 
--- a/cypressledge/net/http.py
+++ b/cypressledge/net/http.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from cypressledge.core import clock
+from cypressledge.clock import monotonic_us
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Budget, Buffer
 from cypressledge.net.stream import (
@@ -66,7 +66,7 @@
         self.waiting: deque[HttpRequest] = deque()
         self.current: Exchange | None = None
         self.closing, self.held = False, 0
-        self.since = self.last = clock()
+        self.since = self.last = monotonic_us()
         self.began, self.asked = 0, False  # `began`: when the request that is not whole yet did
         self.writer = Writer(sock, QUEUED_MOST, PATIENCE, lambda why: end(sock))
         self.parser = httptools.HttpRequestParser(self)
@@ -105,7 +105,7 @@
         return left(self.last, IDLE) if self.asked else left(self.since, FIRST)
 
     def _heard(self) -> None:
-        self.last = clock()
+        self.last = monotonic_us()
         self.server.connections.touch(self)
 
     def missed(self, now: int) -> tuple[int, int]:
@@ -127,7 +127,7 @@
             self.current = Exchange(self, HttpRequest(keep=False))
             self.current.answer(status, {}, HTTPStatus(status).phrase.encode() + b"\n")
             self.writer.close(lambda: shut(self.sock))
-            since = clock()
+            since = monotonic_us()
             drain(self.sock, lambda: left(since, DRAIN))
 
     def _release(self, size: int) -> None:
@@ -150,7 +150,7 @@
 
     def on_message_begin(self) -> None:
         """A request starts."""
-        self.began = clock()
+        self.began = monotonic_us()
         self._start()
 
     def on_url(self, url: bytes) -> None:
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -8,8 +8,9 @@
 
 from gevent import sleep
 
+from cypressledge.clock import monotonic_us
 from cypressledge.contract import Effect
-from cypressledge.core import Core, Fault, Query, Request, clock
+from cypressledge.core import Core, Fault, Query, Request
 from cypressledge.counters import Counters
 from cypressledge.events import Kind
 from cypressledge.net.buffer import Buffer, TooLong
@@ -99,8 +100,8 @@
 
         Guards against the last answers being lost with the process, whose sockets are reset where bytes are
         unread: what has come is read and answered; in the second half whoever is not done is not heard."""
-        until = clock() + int(seconds * 1e6)
-        while len(self.listener.pool) and (now := clock()) < until:
+        until = monotonic_us() + int(seconds * 1e6)
+        while len(self.listener.pool) and (now := monotonic_us()) < until:
             for client in list(self.clients):
                 client.deaf |= until - now < seconds * 5e5
                 client.retire()
@@ -116,7 +117,7 @@
         self.used = Used()
         self.open: dict[int, Call] = {}
         self.writer = Writer(sock, QUEUED_MOST, PATIENCE, self._gone)
-        self.since = self.last = clock()
+        self.since = self.last = monotonic_us()
         self.began = self.faults = 0  # `began`: when the message that is not whole yet did
         self.asked = self.told = False
         # On the way to its end: `retiring` once nothing is owed any more, `deaf` to all that still comes.
@@ -203,7 +204,7 @@
         if self.shut_at:
             return left(self.shut_at, DRAIN)
         if self.began:
-            if clock() > self.began + PART * 1e6:
+            if monotonic_us() > self.began + PART * 1e6:
                 raise BadFrame("message not whole in time")
             return left(self.began, PART)
         if self.open:
@@ -214,7 +215,7 @@
         return left(self.last, IDLE) if self.asked and self.told else left(self.since, FIRST)
 
     def _heard(self) -> None:
-        self.last = clock()
+        self.last = monotonic_us()
         self.front.clients.touch(self)
 
     def missed(self, now: int) -> tuple[int, int]:
@@ -229,7 +230,7 @@
         side is shut, and the client, seeing the end, asks again on a new connection. Nothing that has come
         before is left unread: it is answered first."""
         self.retiring = True
-        now = clock()
+        now = monotonic_us()
         young = not self.asked and now - self.since < FIRST * 1e6  # its first request may be on its way
         due = self.deaf or not (young or self.began or self.reading or unread(self.sock))
         if due and not self.open and not self.shut_at:
@@ -365,7 +366,7 @@
     def _query(self, method: str, params) -> Query:
         """The query, if an engine can use all of it. Guards against what engines can't read: they close a
         connection on it, with the work of others."""
-        now = clock()
+        now = monotonic_us()
         if not isinstance(params, dict):
             raise RpcError(BAD_PARAMS, "params is no object")
         cls = self.front.classes[method]
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -6,9 +6,10 @@
 
 from gevent import Timeout, spawn, spawn_later
 
+from cypressledge.clock import monotonic_us
 from cypressledge.config import Limits
 from cypressledge.contract import NoteKind, Outcome
-from cypressledge.core import Attempt, Core, Place, clock
+from cypressledge.core import Attempt, Core, Place
 from cypressledge.events import Kind
 from cypressledge.net.buffer import READ, Buffer, TooLong
 from cypressledge.net.stream import Idle, Writer, dial, end, ended, fill, left, unread
@@ -22,7 +23,6 @@
 CARRIED_MOST = 3  # connections that an attempt may be put on before it has left
 PART = 1.0  # seconds from the first byte of an answer to its last
 WATCH = 60.0  # seconds; how long one read may wait is no matter here
-UNSENT_MOST = 500_000  # µs a send may wait for its connection; then it is not sent at all
 STALE = 60_000_000  # µs that the id of a cancelled attempt bars its connection to a repeat
 ANSWERED = 5_000_000  # µs that the id of an answered one does: a second answer may follow
 LATE = 2.0  # seconds beyond its time-out in which a connection may still come up, without its attempts
@@ -129,7 +129,7 @@
         number, held = connection.place.id, self.connections.get(connection.place.id, [])
         for other in [c for c in held if c.late and c is not connection]:
             other.close("never up")
-        spoke = max((c.heard for c in held), default=0) > clock() - ALIVE
+        spoke = max((c.heard for c in held), default=0) > monotonic_us() - ALIVE
         self.unreached[number] = self.unreached.get(number, 0) + 1
         outcome = Outcome.CONNECT_FAILED if self.unreached[number] >= UNREACHED else Outcome.MOOT
         for attempt in attempts:
@@ -159,7 +159,7 @@
     def tend(self) -> None:
         """Close what has been idle for long, what leads to engines that take nothing new, and what has lost
         an answer."""
-        now, idle = clock(), int(self.limits.idle_s * IDLE_PART * 1e6)
+        now, idle = monotonic_us(), int(self.limits.idle_s * IDLE_PART * 1e6)
         self.unreached = {number: n for number, n in self.unreached.items() if number in self.core.ready}
         for held in list(self.connections.values()):
             heard = max(connection.heard for connection in held)
@@ -181,7 +181,7 @@
         self.unsent: list[Exchange] = []
         self.stale: dict[bytes, int] = {}
         self.order: deque[bytes] = deque()
-        self.used = clock()
+        self.used = monotonic_us()
         self.unheard = self.heard = self.began = 0
         self.sock = self.writer = None
         self.closed = self.late = self.doubtful = False
@@ -192,7 +192,7 @@
 
         Guards against a late answer being taken for that of a repeat: an id given up here may still be
         answered, and an answered one a second time, so a repeat takes another connection."""
-        now = clock()
+        now = monotonic_us()
         while self.order and self.stale[self.order[0]] < now:
             del self.stale[self.order.popleft()]
         usable = not (self.closed or self.late or self.doubtful or self.suspect()) and place == self.place
@@ -207,13 +207,13 @@
         """Guards against a machine that vanished: its connections stay open without a word, also when it is
         back. Whoever was sent something would have told at least a note by now; new work takes a new
         connection, which proves within the connect time-out whether anybody is there."""
-        return 0 < self.unheard < clock() - self.link.silent
+        return 0 < self.unheard < monotonic_us() - self.link.silent
 
     def lost(self, heard: int) -> bool:
         """Guards against answers that never come: whoever runs a query tells at least a note each interval.
         Only a connection that is silent while its engine speaks on another one has lost something; an engine
         that is silent altogether is the module's to judge."""
-        notes, now = self.link.limits.notes_us, clock()
+        notes, now = self.link.limits.notes_us, monotonic_us()
         return (self.exchanges and 0 < self.unheard < now - int(notes * LOST_NOTES) and notes > 0
                 and heard > now - int(notes * WITNESS))
 
@@ -221,7 +221,7 @@
         """Take the attempt; it goes out once the connection is up."""
         exchange = attempt.carrier = Exchange(attempt, self, word)
         self.exchanges[word] = exchange
-        self.used = clock()
+        self.used = monotonic_us()
         if self.writer is None:
             self.unsent.append(exchange)
         else:
@@ -248,7 +248,7 @@
 
     def _want(self, exchange: Exchange) -> None:
         a, q = exchange.attempt, exchange.attempt.query
-        left = max((a.until - clock()) // 1000, 1)
+        left = max((a.until - monotonic_us()) // 1000, 1)
         fields = [f"c={q.class_name}", f"w={left}", f"order={a.request.priority}"]
         if q.key:
             fields.append(f"i={q.key}")
@@ -264,8 +264,7 @@
         if exchange.dropped:
             return False
         attempt = exchange.attempt
-        late = clock() - attempt.sent_at > UNSENT_MOST
-        if late or not attempt.wanted or self.place.id not in self.core.ready:
+        if not attempt.may_leave(monotonic_us()) or self.place.id not in self.core.ready:
             self._settle(exchange)
             self.core.counters.add("moot_sends")
             self.core.ended(attempt, Outcome.MOOT)
@@ -276,7 +275,7 @@
             return False
         exchange.sent = True
         self.core.counters.reply(exchange.attempt.query.class_name, "dispatches")
-        self.unheard = self.unheard or clock()
+        self.unheard = self.unheard or monotonic_us()
         return True
 
     def _over(self) -> bool:
@@ -296,8 +295,8 @@
             if exchange.sent:
                 if exchange.word not in self.stale:
                     self.order.append(exchange.word)
-                self.stale[exchange.word] = clock() + bar
-        self.used = clock()
+                self.stale[exchange.word] = monotonic_us() + bar
+        self.used = monotonic_us()
         if not self.exchanges and not self.suspect():
             self.unheard = 0  # what was called off early owes no word
 
@@ -331,7 +330,7 @@
         self.core.counters.add(f"engine_close.{cause}")
         self.core.log.write(
             Kind.ENGINE_CLOSED, engine=self.place.name, reason=cause, open=len(self.exchanges),
-            unused_ms=(clock() - self.used) // 1000, detail=repr(detail.strip()))
+            unused_ms=(monotonic_us() - self.used) // 1000, detail=repr(detail.strip()))
 
     def _run(self) -> None:
         patience = self.link.limits.connect_s
@@ -358,7 +357,7 @@
             return
         self.core.counters.add("engine_connects_late" if self.late else "engine_connects")
         self.link.unreached.pop(self.place.id, None)
-        self.late, self.used = False, clock()
+        self.late, self.used = False, monotonic_us()
         self.writer = Writer(self.sock, 4 << 20, 10.0, self.close)
         for exchange in self.unsent:
             self._want(exchange)
@@ -383,7 +382,7 @@
         why = "closed by engine"
         try:
             while fill(buffer, self.sock, self._patience):
-                self.heard, self.doubtful = clock(), False
+                self.heard, self.doubtful = monotonic_us(), False
                 while self._message(buffer):
                     self.began = 0
                 self.began = (self.began or self.heard) if len(buffer) else 0
--- a/cypressledge/net/management.py
+++ b/cypressledge/net/management.py
@@ -13,8 +13,9 @@
 
 from gevent import sleep
 
+from cypressledge.clock import monotonic_us
 from cypressledge.contract import State
-from cypressledge.core import Core, clock
+from cypressledge.core import Core
 from cypressledge.counters import Counters, log
 from cypressledge.maintenance import Maintenance, MaintenanceError
 from cypressledge.net.http import Exchange, HttpRequest, HttpServer
@@ -107,7 +108,7 @@
         except OSError:
             return
         self.seen = stamp
-        kept = Maintenance.load(raw)
+        kept = Maintenance.load(raw, monotonic_us())
         if (kept.out, kept.back) != (self.core.maintenance.out, self.core.maintenance.back):
             log(f"maintenance: out by hand {sorted(kept.out)}")
             self.core.held_out(kept)
@@ -155,7 +156,7 @@
             return 400, b"no engine id\n"
         held, known = self.core.maintenance, self.core.names_engine(name)
         try:
-            changed = held.enter(name, known) if enter else held.exit(name, known, clock())
+            changed = held.enter(name, known) if enter else held.exit(name, known, monotonic_us())
         except MaintenanceError as err:
             status, text = err.args
             return status, text.encode() + b"\n"
--- a/cypressledge/net/stream.py
+++ b/cypressledge/net/stream.py
@@ -10,7 +10,7 @@
 from gevent.event import Event
 from gevent.pool import Pool
 
-from cypressledge.core import clock
+from cypressledge.clock import monotonic_us
 from cypressledge.counters import Counters
 from cypressledge.net.buffer import Budget, Buffer
 
@@ -214,7 +214,7 @@
 
     def _make_room(self) -> bool:
         """Let go of the client that would be missed least; whether there was one."""
-        now = clock()
+        now = monotonic_us()
         for _ in range(LOOKS):
             least = self.connections.least(now)
             if least is None:
@@ -304,7 +304,7 @@
 
 def left(since: int, seconds: float) -> float:
     """What is left of so many seconds; once there is nothing, nobody needs to wait any longer."""
-    rest = seconds - (clock() - since) / 1e6
+    rest = seconds - (monotonic_us() - since) / 1e6
     if rest <= 0:
         raise Idle
     return rest
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -5,6 +5,7 @@
 
 import copy
 import time
+from pathlib import Path
 
 import pytest
 
@@ -76,6 +77,22 @@
     assert "error" in answer
 
 
+@pytest.mark.parametrize("step", FAR_STEPS)
+def test_requests_that_come_after_a_step_are_served(stage, step):
+    """After a step back by more than a request's wait it was over as it came: its deadline was read off the
+    stepped clock, the broker's time stood still at the former one."""
+    engine = stage.engine()
+    broker = broker_of(stage, engine)
+    client = stage.client(broker)
+    client.ask()
+    assert "result" in client.get()
+    stage.clock.step(step)
+    for _ in range(3):
+        client.ask()
+        assert "result" in client.get()
+    assert Path(broker.log.name).read_text().count("request-refused") == 0
+
+
 @pytest.mark.parametrize("step", FAR_STEPS)
 def test_the_retry_budget_keeps_to_its_window(stage, step):
     """Requests taken long ago, by real time, buy no further attempts; attempts made just now still count."""
@@ -98,3 +115,104 @@
     if time.monotonic() - began < window_s:  # else a slow machine has begun another window
         further = len(engine.wants) - 60 - 4
         assert further <= 1
+
+
+def test_a_step_between_retries_buys_no_further_attempts(stage):
+    """A step forward made the budget forget the attempts of a moment ago."""
+    engine = stage.engine(failing("500"))
+    rules = {"RatioSpan": 5_000_000, "MinExtra": 2.0, "ResendRatio": 0.0}
+    broker = broker_of(stage, engine, change=site(rules))
+    client = stage.client(broker)
+    began = time.monotonic()
+    for _ in range(3):
+        for _ in range(2):
+            client.ask()
+            assert "error" in client.get()
+        stage.clock.step(60.0)
+    assert time.monotonic() - began < 5.0
+    assert len(engine.wants) <= 6 + 2
+
+
+def test_a_clock_that_jumps_between_any_two_reads_changes_nothing(stage):
+    """An hour forth and back, from the program's start on: all is served, no connection is cut, nothing is
+    sent twice, and a drain is heard of in time."""
+    stage.clock.alternate(3600.0)
+    engine, other = stage.engine(name="s-1"), stage.engine(name="s-2")
+    broker = broker_of(stage, engine, other, env={"ROUTER_FIGURES_S": "0.05"})
+    client = stage.client(broker)
+    for n in range(60):
+        client.ask(("lookup", "report")[n % 2], wait=3_000)
+        assert "result" in client.get()
+    assert len(engine.wants) + len(other.wants) == 60
+    broker.dns.engines = {"s-1": (engine.port, 1), "s-2": (other.port, 0)}
+    broker.relist(2)
+    broker.said("engine=s-1 from=ready to=draining")
+    sent = len(engine.wants)
+    for _ in range(20):
+        client.ask()
+        assert "result" in client.get()
+    assert len(engine.wants) == sent
+    assert broker.count("clients_closed.idle") == broker.count("clients_cut") == 0
+    assert broker.count("attempts.further") == 0
+
+
+@pytest.mark.parametrize("step", FAR_STEPS)
+def test_a_running_request_keeps_its_deadline(stage, step):
+    """The final answer comes when the client's time is over: not before, and not after the step."""
+    engine = stage.engine(silent)
+    broker = broker_of(stage, engine)
+    client = stage.client(broker)
+    began = time.monotonic()
+    client.ask("report", wait=2_000)
+    until(lambda: engine.wants, "the attempt")
+    stage.clock.step(step)
+    assert "error" in client.get()
+    assert 1.5 < time.monotonic() - began < 2.4
+
+
+@pytest.mark.parametrize("step", FAR_STEPS)
+def test_a_stop_has_its_whole_grace_and_no_more(stage, step):
+    """What was taken is answered by its engine within the grace; what hangs is answered before the kill."""
+    engine = stage.engine(silent)
+    without_notes = site()
+    without_notes["settings"]["FamilyInfo"]["TellsEvery"] = 0  # else silence tells of a lost answer earlier
+    broker = broker_of(stage, engine, change=without_notes)
+    client = stage.client(broker)
+    client.ask("report", wait=20_000)
+    until(lambda: engine.wants, "the attempt that hangs")
+    engine.play = answer_later
+    client.ask("report", wait=20_000)
+    until(lambda: len(engine.wants) == 2, "the attempt that is answered")
+    began = time.monotonic()
+    broker.process.terminate()
+    broker.said("stopping")
+    stage.clock.step(step)
+    answers = {answer["id"]: answer for answer in (client.get(), client.get())}
+    assert "result" in answers[2] and "error" in answers[1]
+    client.close()
+    broker.process.wait(10.0)
+    assert 2.0 < time.monotonic() - began < 3.7  # SIGKILL comes no earlier than 3 s and 0.7 s after SIGTERM
+
+
+def answer_later(engine, say, name, fields, statement):
+    time.sleep(1.0)  # an engine's work, in real time
+    whole(engine, say, name, fields, statement)
+
+
+@pytest.mark.parametrize("ahead", [-3600.0, 0.0, 3600.0])
+def test_an_engine_that_has_just_started_is_cold_whatever_the_clock_says(stage, ahead):
+    """With a clock an hour ahead it passed for warm, and was given all at once."""
+    stage.clock.step(ahead)
+    engine, fresh = stage.engine(name="s-1"), stage.engine(name="s-2")
+    broker = broker_of(stage, engine)
+    broker.dns.born = round(time.time() * 1000)
+    broker.dns.engines = {"s-2": (fresh.port, 0)}
+    broker.relist(2)
+    broker.said("engine=s-2 from=unlisted to=ready")
+    client = stage.client(broker)
+    began = time.monotonic()
+    for _ in range(30):
+        client.ask("report", wait=20_000, cost=2_000.0)  # 60 s of work; cold, it may have 20 s of it in 2 s
+    client.sock.settimeout(0.5)
+    until(lambda: time.monotonic() - began > 1.0, "a second of the cold engine's window")
+    assert 1 <= len(fresh.wants) <= 10
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,9 +3,10 @@
 import unittest
 import weakref
 
+from cypressledge.clock import monotonic_us
 from cypressledge import contract as c
 from cypressledge.config import Limits
-from cypressledge.core import LATE, Core, Place, Query, clock
+from cypressledge.core import LATE, Core, Place, Query
 from cypressledge.counters import Counters
 from cypressledge.net.jsonrpc import Call
 from cypressledge.net.lines import CARRIED_MOST, LinesLink
@@ -32,7 +33,7 @@
         self.core.links["lines"] = self.link
         entry = c.Entry(7, c.State.READY, 0, 0, 0, 0)
         self.core.listed("lines", c.ListKind.CACHED, [(entry, Place(7, "s-1", ("127.0.0.1", 1), "lines"))])
-        query = Query("00000000000000aa", 0, "lookup", "sahel", b"SELECT 1", clock() + 3_000_000)
+        query = Query("00000000000000aa", 0, "lookup", "sahel", b"SELECT 1", monotonic_us() + 3_000_000)
         self.request = self.core.take(query, self.reply)
         self.settle()
         self.core.events.clear()
--- a/tests/test_service_days.py
+++ b/tests/test_service_days.py
@@ -10,7 +10,7 @@
 import gevent
 import gevent.socket
 
-from cypressledge.core import clock
+from cypressledge.clock import monotonic_us
 from cypressledge.counters import Counters
 from cypressledge.net.jsonrpc import SKIPPED_MOST, Client, Used
 from cypressledge.net.stream import KEPT, LOOKS, QUEUED, Crowd, Listener, Writer
@@ -225,7 +225,7 @@
         pairs = [socket.socketpair() for _ in range(4)]
         clients = [Client(front, ours) for ours, _ in pairs]
         for n, client in enumerate(clients):
-            client.asked, client.since, client.last = True, 0, clock() - 1_000_000 + n
+            client.asked, client.since, client.last = True, 0, monotonic_us() - 1_000_000 + n
         pairs[0][1].send(b"a request that is not read yet")
         clients[1].writer.running = True  # an answer has not left yet
         for left in (3, 2):
