An engine's age goes by the wall clock of the program's start, bounded by the newest start

Change: the wall clock as it was when the program began, carried on by the monotonic clock, tells the age; no engine passes for older than the newest one listed and a quarter of the warm-up, so that a clock that was wrong at the start does not make a cold engine warm. Too small an age is safe. A broker that starts takes the newest engines for cold for up to three quarters of the warm-up, however old they are.

--- a/cypressledge/net/directory.py
+++ b/cypressledge/net/directory.py
@@ -11,7 +11,7 @@
 from gevent import Timeout, socket
 from gevent.event import Event
 
-from cypressledge.clock import monotonic_us
+from cypressledge.clock import monotonic_us, wall_us
 from cypressledge.contract import Entry, ListKind, State
 from cypressledge.core import Core, Place, stable
 from cypressledge.counters import log
@@ -21,6 +21,7 @@
 PERIOD = 0.4  # seconds between polls: what an answer holds counts as told, so it must not wait for long
 ASKS = (0.1, 0.1, 0.15)  # seconds for a good answer, from the first ask of a poll and from each repeat of it
 SPOILT = 0.02  # seconds in which a good answer may follow a bad one, before asking again
+DOUBT = 4  # part of its warm-up by which an engine may pass for older: by then it bears more than its share
 MISSED = 3  # polls in a row without a good answer, from which the server is called out of reach
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 
@@ -49,7 +50,7 @@
     def __init__(self, kinds: tuple[str, ...], zones: tuple[str, ...], wire: str) -> None:
         self.wire = wire
         self.told: tuple[ListKind, list[Listed]] | None = None
-        self.starts = Starts()
+        self.starts = Starts(wall_us() - monotonic_us())
         self.name(kinds, zones)
 
     def name(self, kinds: tuple[str, ...], zones: tuple[str, ...]) -> None:
@@ -67,15 +68,15 @@
     def pair(self, e: Listed) -> tuple[Entry, Place]:
         """An engine as the module knows it, and where it listens."""
         number = stable(e.name)
-        started = self.starts.heard(e.name, e.born_ms, monotonic_us())
         entry = Entry(number, e.state, self.kinds.get(e.kind, 0), self.zones.get(e.zone, 0),
-                      e.cell, started)
+                      e.cell, self.starts.at(e.name, e.born_ms))
         return entry, Place(number, e.name, (e.host, e.port), self.wire, e.born_ms)
 
     def tell(self, core: Core, kind: ListKind, engines: Iterable[Listed]) -> None:
         """Hand the whole list to the core."""
         self.told = kind, list(engines)
-        self.starts.keep({e.name for e in self.told[1]})
+        starts = {e.name: e.born_ms for e in self.told[1]}
+        self.starts.take(starts, monotonic_us(), core.settings.warm_within // DOUBT)
         core.listed(self.wire, kind, list(map(self.pair, self.told[1])))
 
 
--- a/cypressledge/starts.py
+++ b/cypressledge/starts.py
@@ -1,12 +1,17 @@
 """When engines' processes started, on this broker's monotonic clock. Free of I/O, told the time.
 
-Lists tell it as Unix time, by a clock of another machine; ours may be stepped. So a start only says that a
-process is another one than before, and it counts as started when this broker hears of it: later than it did,
-never earlier, so that an engine is taken for cold for long enough whatever the clocks say.
+Lists tell it as Unix time, read off other machines' clocks. Ours may have been stepped before this process
+began, so an age by our clock alone may be wrong by an hour: an engine that has just started would pass for
+warm. Of two estimates of "now" on the lists' clock the earlier one counts, as too small an age is safe:
+
+- our wall clock as it was when this process began, carried on by the monotonic clock;
+- the newest start that is listed, and what may have passed since then for it to make no difference: `doubt`.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
+MS = 1_000  # µs
 FORGET_SPARE = 64  # engines no longer listed that are kept, for those that come back as they were
 
 
@@ -19,22 +24,31 @@
 
 
 class Starts:
-    """The starts of all engines heard of."""
+    """The starts of all engines heard of. `wall_offset`: µs by which the wall clock was ahead of the
+    monotonic one as this process began."""
 
-    def __init__(self) -> None:
+    def __init__(self, wall_offset: int) -> None:
+        self.wall_offset = wall_offset
         self.starts: dict[str, Start] = {}
 
-    def heard(self, engine: str, told_ms: int, now: int) -> int:
-        """µs at which the engine's process counts as started; 0, as in lists, is long ago."""
-        if not told_ms:
-            self.starts.pop(engine, None)
-            return 0
-        start = self.starts.get(engine)
-        if start is None or start.told_ms != told_ms:
-            start = self.starts[engine] = Start(told_ms, now)
-        return start.at
-
-    def keep(self, listed: set[str]) -> None:
-        """Forget engines that are not listed, once there are many."""
-        if len(self.starts) > 2 * len(listed) + FORGET_SPARE:
-            self.starts = {engine: start for engine, start in self.starts.items() if engine in listed}
+    def take(self, told: Mapping[str, int], now: int, doubt: int) -> None:
+        """A whole list: engines' starts in ms of Unix time, 0 being long ago. `now`: the monotonic clock, µs;
+        `doubt`: µs by which an engine may be taken for older than it is.
+
+        What was made of a start stays as it was when first heard of, so a later step changes nothing."""
+        newest = max(told.values(), default=0) * MS
+        reference = min(now + self.wall_offset, newest + doubt)
+        for engine, told_ms in told.items():
+            held = self.starts.get(engine)
+            if told_ms and (held is None or held.told_ms != told_ms):
+                age = max(reference - told_ms * MS, 0)
+                self.starts[engine] = Start(told_ms, now - age)
+        self._forget(told)
+
+    def at(self, engine: str, told_ms: int) -> int:
+        """µs of the monotonic clock at which an engine of the last list counts as started; 0 is long ago."""
+        return self.starts[engine].at if told_ms else 0
+
+    def _forget(self, told: Mapping[str, int]) -> None:
+        if len(self.starts) > 2 * len(told) + FORGET_SPARE:
+            self.starts = {engine: start for engine, start in self.starts.items() if engine in told}
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -4,23 +4,51 @@
 from cypressledge.maintenance import Maintenance
 from cypressledge.starts import FORGET_SPARE, Starts
 
-NOW = BEGINNING + 1_000_000
+S = 1_000_000
+NOW = BEGINNING + 1_000 * S
+UNIX = 1_790_000_000 * S  # what a right wall clock says at NOW
+DOUBT = 3 * S
 
 
-def test_a_process_counts_as_started_when_it_is_first_heard_of():
-    starts = Starts()
-    assert starts.heard("s-1", 0, NOW) == 0
-    assert starts.heard("s-1", 1_700_000_000_000, NOW) == NOW
-    assert starts.heard("s-1", 1_700_000_000_000, NOW + 5) == NOW
-    assert starts.heard("s-1", 1_600_000_000_000, NOW + 9) == NOW + 9  # another process, by a clock set back
+def starts_of(told_s, ahead_s=0):
+    """Engines' ages, in seconds, by a clock that is ahead, from the true ones."""
+    starts = Starts(UNIX + ahead_s * S - NOW)
+    told = {engine: (UNIX - age * S) // 1_000 for engine, age in told_s.items()}
+    starts.take(told, NOW, DOUBT)
+    return {engine: (NOW - starts.at(engine, told_ms)) / S for engine, told_ms in told.items()}
+
+
+def test_ages_by_a_right_clock():
+    assert starts_of({"s-1": 2, "s-2": 30}) == {"s-1": 2, "s-2": 30}
+
+
+def test_no_engine_passes_for_much_older_by_a_clock_that_is_ahead():
+    assert starts_of({"s-1": 2, "s-2": 30}, ahead_s=3_600) == {"s-1": 3, "s-2": 31}
+
+
+def test_an_engine_counts_as_just_started_by_a_clock_that_is_behind():
+    assert starts_of({"s-1": 2, "s-2": 30}, ahead_s=-3_600) == {"s-1": 0, "s-2": 0}
+
+
+def test_one_engine_whose_own_clock_is_ahead_makes_the_others_no_older():
+    assert starts_of({"s-1": -3_600, "s-2": 2, "s-3": 30}) == {"s-1": 0, "s-2": 2, "s-3": 30}
+
+
+def test_a_start_counts_as_it_was_first_heard_of_until_there_is_another():
+    starts = Starts(UNIX - NOW)
+    told_ms = UNIX // 1_000
+    starts.take({"s-1": told_ms, "s-2": 0}, NOW, DOUBT)
+    starts.take({"s-1": told_ms, "s-2": 0}, NOW + 60 * S, DOUBT)
+    assert (starts.at("s-1", told_ms), starts.at("s-2", 0)) == (NOW, 0)
+    starts.take({"s-1": told_ms - 1}, NOW + 60 * S, DOUBT)  # another process, by a clock that was set back
+    assert starts.at("s-1", told_ms - 1) == NOW + 60 * S - DOUBT
 
 
 def test_engines_that_left_are_forgotten_once_there_are_many():
-    starts = Starts()
+    starts = Starts(UNIX - NOW)
     for n in range(1_000):
-        starts.heard(f"s-{n}", 1 + n, NOW)
-        starts.keep({f"s-{n}"})
-    assert len(starts.starts) <= FORGET_SPARE + 2 and "s-999" in starts.starts
+        starts.take({f"s-{n}": 1 + n}, NOW, DOUBT)
+    assert len(starts.starts) <= FORGET_SPARE + 3 and "s-999" in starts.starts
 
 
 def test_a_return_kept_on_another_clock_counts_as_now():
