A command that waited to leave is worded anew: the deadline it names is what its client has left

The deadline passed to an engine may be 0.15 s over what the client has left; a command may wait half a second for its connection's turn, or longer in a process that stands still. Change: a command that leaves over 50 ms after it was worded is worded again.

--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -25,6 +25,7 @@
 WATCH = 60.0  # seconds; how long one read may wait is no matter here
 STALE = 60_000_000  # µs that the id of a cancelled attempt bars its connection to a repeat
 ANSWERED = 5_000_000  # µs that the id of an answered one does: a second answer may follow
+WORDED_MOST = 50_000  # µs from the wording of a command to its leaving; then it is worded anew
 LATE = 2.0  # seconds beyond its time-out in which a connection may still come up, without its attempts
 ALIVE = 1_500_000  # µs after an engine's word in which a connection that does not come up is not its fault
 UNREACHED = 2  # connections in a row that do not come up, from which their engine is out of reach
@@ -50,6 +51,7 @@
     attempt: Attempt
     connection: "Connection"
     word: bytes
+    worded_at: int = 0  # µs; the deadline that its command names was right then
     sent: bool = False
     dropped: bool = False
     ran: bool = False  # a note of its progress has come
@@ -248,7 +250,8 @@
 
     def _want(self, exchange: Exchange) -> None:
         a, q = exchange.attempt, exchange.attempt.query
-        left = max((a.until - monotonic_us()) // 1000, 1)
+        exchange.worded_at = monotonic_us()
+        left = max((a.until - exchange.worded_at) // 1000, 1)
         fields = [f"c={q.class_name}", f"w={left}", f"order={a.request.priority}"]
         if q.key:
             fields.append(f"i={q.key}")
@@ -273,6 +276,9 @@
             self._settle(exchange)
             self.link.again(attempt, Outcome.MOOT)
             return False
+        if monotonic_us() - exchange.worded_at > WORDED_MOST:  # it names more time than the client has left
+            self._want(exchange)
+            return False
         exchange.sent = True
         self.core.counters.reply(exchange.attempt.query.class_name, "dispatches")
         self.unheard = self.unheard or monotonic_us()
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -1,9 +1,11 @@
-"""The machine's wall clock is stepped under a running broker: every span stays one of real time.
+"""The machine's wall clock is stepped under a running broker, or the process stands still for a while: every
+span stays one of real time, and what was judged a while ago is judged again before it has effect.
 
 The clock is stepped from outside the program, by a preloaded shim (wall_clock.py); the monotonic one runs on.
 """
 
 import copy
+import signal
 import time
 from pathlib import Path
 
@@ -216,3 +218,37 @@
     client.sock.settimeout(0.5)
     until(lambda: time.monotonic() - began > 1.0, "a second of the cold engine's window")
     assert 1 <= len(fresh.wants) <= 10
+
+
+def test_a_process_that_stood_still_sends_no_repeat_behind_its_window(stage):
+    """A place comes free while the process is stopped, and the window ends meanwhile."""
+    engine = stage.engine(silent)
+    broker = broker_of(stage, engine, change=site(MemorySpan=round(WINDOW_S * 1e6)))
+    client = stage.client(broker)
+    ask_keyed(client)
+    until(lambda: engine.wants, "the first attempt")
+    first_sent = time.monotonic()
+    take_out(broker, engine, 2)
+    hang_up(engine.wants[0][0])
+    broker.said("outcome=reset")
+    broker.process.send_signal(signal.SIGSTOP)
+    engine.play = whole
+    broker.dns.engines, broker.dns.serial = {engine.name: (engine.port, 0)}, 3
+    until(lambda: time.monotonic() > first_sent + WINDOW_S, "the window's end")
+    broker.process.send_signal(signal.SIGCONT)
+    assert "error" in client.get()
+    assert len(engine.wants) == 1
+
+
+def test_a_command_that_waited_to_leave_names_the_time_that_is_left(stage):
+    """The deadline was worded as the command was queued, and left with it half a second later."""
+    engine = stage.engine()
+    broker = stage.broker(engine, hooks={"leaves": "cypressledge.net.lines:Connection._leaves!"})
+    client = stage.client(broker)
+    asked = time.monotonic()
+    client.ask(wait=3_000)
+    broker.reached("leaves")
+    until(lambda: time.monotonic() > asked + 0.4, "a while at the write")
+    broker.go("leaves")
+    assert "result" in client.get()
+    assert int(engine.wants[0][2]["w"]) <= 3_000 - 400 + 50
