--- a/cypressledge/broker.py
+++ b/cypressledge/broker.py
@@ -19,7 +19,7 @@
 from cypressledge.clock import StepWatch, monotonic_us
 from cypressledge.config import Config, ConfigError, read_config
 from cypressledge.contract import ListKind, Settings
-from cypressledge.core import SEND_WAIT, Core
+from cypressledge.core import Core
 from cypressledge.counters import Counters, log
 from cypressledge.events import Kind
 from cypressledge.net.buffer import GROWN
@@ -28,6 +28,7 @@
 from cypressledge.net.lines import LinesLink
 from cypressledge.net.management import CALLERS_LEAST, CALLERS_MOST, Kept, Management, figures
 from cypressledge.net.stream import QUEUED
+from cypressledge.requests import SEND_WAIT
 from cypressledge.service import Service, ServiceConfig, read_service
 from cypressledge.tenants import Tenants
 
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -11,9 +11,8 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from heapq import heappop, heappush
-from typing import Protocol
 
 from gevent import sleep
 from gevent.event import Event
@@ -24,12 +23,12 @@
 from cypressledge.counters import Counters, log
 from cypressledge.events import EventLog, Kind
 from cypressledge.maintenance import Maintenance
+from cypressledge.requests import LATE, Attempt, Fault, Link, Observer, Place, Query, Reply, Request
 
 KEY = re.compile(r"[!-+\--~]{1,128}\Z", re.A)  # a client's key: no commas or blanks, it may stand in a list
 ENGINE = re.compile(r"\bengine ([0-9a-f]+)\b")
 OUTCOMES = {"served": "success", "refused": "overload", "failed": "error"}  # the figures' names
 MS = 1_000  # µs
-SEND_WAIT = 500_000  # µs from its decision in which an attempt leaves, or never does: the module's margin
 OVERDUE = 10_000  # µs after the client's time at which the ledger answers what the module did not
 
 
@@ -43,141 +42,6 @@
     return "unlisted" if told is None else told[0].name.lower()
 
 
-@dataclass(slots=True)
-class Query:
-    """What a client asks, whatever wire it came by. `due`: µs of the monotonic clock when it stops
-    waiting."""
-
-    id: str
-    cls: int
-    class_name: str
-    tenant: str
-    statement: bytes
-    due: int
-    key: str = ""
-    cost: int = 0
-    memory_mb: float = 0.0
-    group: int = 0
-    repeat: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """Why an engine's answer is no result. `final`: the statement itself is at fault, no engine helps."""
-
-    text: str
-    code: int = 0
-    status: int = 500
-    final: bool = False
-
-
-LATE = Fault("not answered in time", 159, 408)
-
-
-@dataclass(frozen=True, slots=True)
-class Place:
-    """Where an engine listens and which link speaks to it."""
-
-    id: int
-    name: str
-    address: tuple[str, int]
-    wire: str
-    born: int = 0  # ms; a process that starts anew under its id is another place: old connections are dead
-
-
-class Reply(Protocol):
-    """What a front offers for one taken request; none of these may block."""
-
-    streams: bool
-
-    def served(self, rows: bytes) -> None:
-        """All rows (behind those of `part`, if any)."""
-
-    def part(self, rows: bytes) -> None:
-        """The next rows of an answer that has begun; only where it `streams`."""
-
-    def pace(self) -> bool:
-        """Called by a link's greenlet: wait, a second at most, for the client to read; whether it did."""
-
-    def refused(self, after: int) -> None:
-        """Trying again is harmless, best after so many µs."""
-
-    def failed(self, fault: Fault) -> None:
-        """It may have run; an answer that has begun is left visibly broken."""
-
-
-class Link(Protocol):
-    """What a wire to the engines offers; none of these may block."""
-
-    def send(self, attempt: "Attempt") -> None:
-        """Carry the attempt to its engine."""
-
-    def cancel(self, attempt: "Attempt") -> None:
-        """Give it up; nothing is reported of it any more."""
-
-    def terms(self, attempt: "Attempt") -> None:
-        """Its priority has changed."""
-
-
-@dataclass(slots=True, eq=False)
-class Request:
-    """One line of the ledger."""
-
-    number: int
-    query: Query
-    reply: Reply
-    attempts: list["Attempt"] = field(default_factory=list)
-    grant_mb: float = 0.0
-    priority: int = 1
-    open: int = 0
-    over: bool = False
-    left: bool = False
-    begun: "Attempt | None" = None
-    fault: Fault | None = None
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One send of a request to one engine. `carrier` belongs to the link."""
-
-    request: Request
-    hop: int
-    place: Place
-    sent_at: int
-    until: int
-    decided_at: int  # the module's time of the decision, on which windows and budgets were judged
-    open: bool = True
-    outcome: c.Outcome | None = None
-    carrier: object = None
-    carried: int = 0  # connections it was put on in vain
-    unread: int = 0  # bytes of rows on their way to the core
-
-    @property
-    def wanted(self) -> bool:
-        """Whether anybody still waits for it."""
-        return self.open and not (self.request.over or self.request.left)
-
-    def may_leave(self, now: int) -> bool:
-        """Whether it is still wanted, and as fresh as the module took it to be when it judged window and
-        budget. Guards against connections that come up late, and processes that stood still meanwhile."""
-        return self.wanted and now - self.decided_at <= SEND_WAIT
-
-    @property
-    def query(self) -> Query:
-        """The query it carries."""
-        return self.request.query
-
-
-class Observer(Protocol):
-    """Whoever is told how attempts go; none of these may block."""
-
-    def heard(self, attempt: Attempt) -> None:
-        """The engine has said something of an attempt."""
-
-    def ended(self, attempt: Attempt, outcome: c.Outcome, latency: int) -> None:
-        """An attempt has ended, after so many µs."""
-
-
 class Core:
     """The ledger, and the one greenlet that runs the module."""
 
--- a/cypressledge/fleet/zones.py
+++ b/cypressledge/fleet/zones.py
@@ -10,13 +10,14 @@
 from dataclasses import dataclass
 
 from cypressledge import contract as c
-from cypressledge.core import Attempt, Core, Query
+from cypressledge.core import Core
 from cypressledge.fleet.evidence import Evidence
 from cypressledge.fleet.judge import FADE, Judgement, Told, judge, judging
 from cypressledge.fleet.keeper import Granted
 from cypressledge.fleet.messages import Plan, PlanWanted, Sight, ZoneWish
 from cypressledge.fleet.shed import SPAN_S, Arrivals, is_shed, over_part, over_shares, refused
 from cypressledge.fleet.zoneplan import FULL, Follower, Load, Pace, Planner, Stage, able
+from cypressledge.requests import Attempt, Query
 
 EVERY = 200_000  # µs between looks at what is out, and between sights that say something new
 IDLE_EVERY = 500_000  # µs between sights that say only that all is well
--- a/cypressledge/lab/slopes.py
+++ b/cypressledge/lab/slopes.py
@@ -27,7 +27,7 @@
 from cypressledge import contract as c
 from cypressledge.config import ConfigError
 from cypressledge.control import WorkloadManager
-from cypressledge.core import Place, stable
+from cypressledge.core import stable
 from cypressledge.counters import Counters
 from cypressledge.fleet import settings as fleet_settings
 from cypressledge.fleet.keeper import Granted
@@ -39,6 +39,7 @@
 from cypressledge.lab.site import SETTINGS
 from cypressledge.lab.virtual import World
 from cypressledge.net.directory import NAME, Catalogue, Directory
+from cypressledge.requests import Place
 from cypressledge.settings import settings_of
 
 S = 1_000_000
--- a/cypressledge/lab/zonesize.py
+++ b/cypressledge/lab/zonesize.py
@@ -24,10 +24,11 @@
 
 from cypressledge import contract as c
 from cypressledge.control import WorkloadManager
-from cypressledge.core import OVERDUE, Attempt, Place, Query, Request
+from cypressledge.core import OVERDUE
 from cypressledge.fleet.keeper import Granted
 from cypressledge.fleet.zoneplan import Pace
 from cypressledge.fleet.zones import Site, Zones
+from cypressledge.requests import Attempt, Place, Query, Request
 
 S = 1_000_000
 STEP = 10_000  # µs
--- a/cypressledge/net/clickhouse.py
+++ b/cypressledge/net/clickhouse.py
@@ -15,10 +15,11 @@
 from cypressledge.clock import monotonic_us
 from cypressledge.config import Limits
 from cypressledge.contract import Effect, NoteKind, Outcome
-from cypressledge.core import KEY, LATE, Attempt, Core, Fault, Place, Query, Request
+from cypressledge.core import KEY, Core
 from cypressledge.net.buffer import Buffer
 from cypressledge.net.http import Exchange, HttpRequest, HttpServer
 from cypressledge.net.stream import dial, end
+from cypressledge.requests import LATE, Attempt, Fault, Place, Query, Request
 from cypressledge.sql import table_group
 from cypressledge.tenants import Tenant, Tenants
 
--- a/cypressledge/net/directory.py
+++ b/cypressledge/net/directory.py
@@ -13,8 +13,9 @@
 
 from cypressledge.clock import monotonic_us, wall_us
 from cypressledge.contract import Entry, ListKind, State
-from cypressledge.core import Core, Place, stable
+from cypressledge.core import Core, stable
 from cypressledge.counters import log
+from cypressledge.requests import Place
 from cypressledge.starts import Starts
 
 NAME = "_app._tcp.cluster.lan"
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -10,13 +10,26 @@
 
 from cypressledge.clock import monotonic_us
 from cypressledge.contract import Effect
-from cypressledge.core import Core, Fault, Query, Request
+from cypressledge.core import Core
 from cypressledge.counters import Counters
 from cypressledge.events import Kind
 from cypressledge.net.buffer import Buffer, TooLong
 from cypressledge.net.stream import (
-    DRAIN, FIRST, Crowd, Idle, Listener, Writer, drain, end, fill, left, missed, shut, unread,
+    DRAIN,
+    FIRST,
+    Crowd,
+    Idle,
+    Listener,
+    Writer,
+    drain,
+    end,
+    fill,
+    left,
+    missed,
+    shut,
+    unread,
 )
+from cypressledge.requests import Fault, Query, Request
 from cypressledge.sql import table_group
 
 HEAD_MOST = 1024
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -9,10 +9,11 @@
 from cypressledge.clock import monotonic_us
 from cypressledge.config import Limits
 from cypressledge.contract import NoteKind, Outcome
-from cypressledge.core import Attempt, Core, Place
+from cypressledge.core import Core
 from cypressledge.events import Kind
 from cypressledge.net.buffer import READ, Buffer, TooLong
 from cypressledge.net.stream import Idle, Writer, dial, end, ended, fill, left, unread
+from cypressledge.requests import Attempt, Place
 
 LINE_MOST = 1024
 PAGE_MOST = 6000
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,5 +1,9 @@
 """The list of known failures names tests that there are."""
 
+import shutil
+import subprocess
+import sys
+
 import pytest
 
 from tests import known_red
@@ -20,3 +24,18 @@
     known_red.FILE.write_text("\n".join(lines))
     with pytest.raises(ValueError):
         known_red.known_red()
+
+
+def test_one_that_fails_is_printed_and_one_that_passes_fails_the_run(tmp_path):
+    tests = tmp_path / "tests"
+    tests.mkdir()
+    for name in ("conftest.py", "known_red.py"):
+        shutil.copy(ROOT / "tests" / name, tests)
+    (tests / "test_a.py").write_text("def test_b():\n    assert False\n\n\ndef test_c():\n    pass\n")
+    listed = "tests/test_a.py::test_b: known (issue 1)\n"
+    for lines, code, said in ((listed, 0, "KNOWN-RED: known (issue 1)"), ("", 1, "1 failed"),
+                              (listed + "tests/test_a.py::test_c: mended (issue 2)\n", 1, "XPASS(strict)")):
+        (tmp_path / "KNOWN-RED.txt").write_text(lines)
+        command = [sys.executable, "-m", "pytest", "-q", "-rxX", "-p", "no:cacheprovider", "tests"]
+        run = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True)
+        assert run.returncode == code and said in run.stdout, run.stdout
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,13 +3,14 @@
 import unittest
 import weakref
 
-from cypressledge.clock import monotonic_us
 from cypressledge import contract as c
+from cypressledge.clock import monotonic_us
 from cypressledge.config import Limits
-from cypressledge.core import LATE, Core, Place, Query
+from cypressledge.core import Core
 from cypressledge.counters import Counters
 from cypressledge.net.jsonrpc import Call
 from cypressledge.net.lines import CARRIED_MOST, LinesLink
+from cypressledge.requests import LATE, Place, Query
 from cypressledge.settings import settings_of
 from tests.stands import SETTINGS
 
