--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -52,25 +52,26 @@
     broker.relist(serial)
 
 
-def ask_keyed(client):
+def keyed_request_whose_engine_drains(stage):
+    """A keyed request's first attempt is out, and no engine takes a repeat; also when the window ends."""
+    engine = stage.engine(silent)
+    broker = broker_of(stage, engine, change=site(MemorySpan=round(WINDOW_S * 1e6)))
+    client = stage.client(broker)
     client.ask("order-load", wait=20_000, once="order-1")
+    until(lambda: engine.wants, "the first attempt")
+    window_over = time.monotonic() + WINDOW_S
+    take_out(broker, engine, 2)
+    return engine, broker, client, window_over
 
 
 @pytest.mark.parametrize("step", FAR_STEPS)
 def test_a_keyed_request_is_not_sent_again_after_its_window(stage, step):
     """The incident: after a step back the broker's time stood still, and the repeat that waited for an engine
     left long after the window in which engines drop it."""
-    engine = stage.engine(silent)
-    broker = broker_of(stage, engine, change=site(MemorySpan=round(WINDOW_S * 1e6)))
-    client = stage.client(broker)
-    ask_keyed(client)
-    until(lambda: engine.wants, "the first attempt")
-    first_sent = time.monotonic()
-    take_out(broker, engine, 2)
+    engine, broker, client, window_over = keyed_request_whose_engine_drains(stage)
     stage.clock.step(step)
     hang_up(engine.wants[0][0])
     broker.said("outcome=reset")
-    window_over = first_sent + WINDOW_S
     until(lambda: time.monotonic() > window_over, "the window's end")
     engine.play = whole
     put_back(broker, engine, 3)
@@ -222,19 +223,13 @@
 
 def test_a_process_that_stood_still_sends_no_repeat_behind_its_window(stage):
     """A place comes free while the process is stopped, and the window ends meanwhile."""
-    engine = stage.engine(silent)
-    broker = broker_of(stage, engine, change=site(MemorySpan=round(WINDOW_S * 1e6)))
-    client = stage.client(broker)
-    ask_keyed(client)
-    until(lambda: engine.wants, "the first attempt")
-    first_sent = time.monotonic()
-    take_out(broker, engine, 2)
+    engine, broker, client, window_over = keyed_request_whose_engine_drains(stage)
     hang_up(engine.wants[0][0])
     broker.said("outcome=reset")
     broker.process.send_signal(signal.SIGSTOP)
     engine.play = whole
     broker.dns.engines, broker.dns.serial = {engine.name: (engine.port, 0)}, 3
-    until(lambda: time.monotonic() > first_sent + WINDOW_S, "the window's end")
+    until(lambda: time.monotonic() > window_over, "the window's end")
     broker.process.send_signal(signal.SIGCONT)
     assert "error" in client.get()
     assert len(engine.wants) == 1
