--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -2,14 +2,17 @@
 
 import base64
 import binascii
+import errno
 import json
 import re
 
 from gevent import sleep
 
+from cypressledge.clock import monotonic_us
 from cypressledge.contract import Effect
-from cypressledge.core import Core, Fault, Query, Request, clock
+from cypressledge.core import Core, Fault, Query, Request
 from cypressledge.counters import Counters
+from cypressledge.events import Kind
 from cypressledge.net.buffer import Buffer, TooLong
 from cypressledge.net.stream import (
     DRAIN, FIRST, Crowd, Idle, Listener, Writer, drain, end, fill, left, missed, shut, unread,
@@ -32,6 +35,7 @@
 NUMBER_MOST = 1 << 53
 SKIPPED_MOST = 1024  # ids that a connection may have used out of order
 KEYS = re.compile(r"[0-9A-Za-z_.:/+~-]{1,128}\Z", re.A)
+ORDINARY_CLOSES = frozenset(("by-client", "idle"))
 REFUSED = -32066
 FAILED = -32000
 PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
@@ -96,8 +100,8 @@
 
         Guards against the last answers being lost with the process, whose sockets are reset where bytes are
         unread: what has come is read and answered; in the second half whoever is not done is not heard."""
-        until = clock() + int(seconds * 1e6)
-        while len(self.listener.pool) and (now := clock()) < until:
+        until = monotonic_us() + int(seconds * 1e6)
+        while len(self.listener.pool) and (now := monotonic_us()) < until:
             for client in list(self.clients):
                 client.deaf |= until - now < seconds * 5e5
                 client.retire()
@@ -113,12 +117,13 @@
         self.used = Used()
         self.open: dict[int, Call] = {}
         self.writer = Writer(sock, QUEUED_MOST, PATIENCE, self._gone)
-        self.since = self.last = clock()
+        self.since = self.last = monotonic_us()
         self.began = self.faults = 0  # `began`: when the message that is not whole yet did
         self.asked = self.told = False
         # On the way to its end: `retiring` once nothing is owed any more, `deaf` to all that still comes.
         self.retiring, self.deaf, self.reading = front.retiring, False, False
         self.shut_at = 0
+        self.close_reason = "by-client"
         front.clients.add(self)
 
     def run(self) -> None:
@@ -129,10 +134,11 @@
                 pass
         except (BadFrame, TooLong) as err:
             self.counters.add("bad_frames")
+            self.close_reason = "bad-frame"
             self._error(None, INVALID, f"bad framing: {err}")
             self._wind_up()
-        except OSError:
-            pass
+        except OSError as err:
+            self.close_reason = errno.errorcode.get(err.errno, "error")
         finally:
             self._leave()
 
@@ -147,6 +153,7 @@
             # Guards against closing on a request that comes in this moment: it is answered first.
             if not self.shut_at:
                 self.counters.add("clients.idle")
+                self.close_reason = "idle"
                 self.retire()
                 return True
             return False
@@ -197,7 +204,7 @@
         if self.shut_at:
             return left(self.shut_at, DRAIN)
         if self.began:
-            if clock() > self.began + PART * 1e6:
+            if monotonic_us() > self.began + PART * 1e6:
                 raise BadFrame("message not whole in time")
             return left(self.began, PART)
         if self.open:
@@ -208,7 +215,7 @@
         return left(self.last, IDLE) if self.asked and self.told else left(self.since, FIRST)
 
     def _heard(self) -> None:
-        self.last = clock()
+        self.last = monotonic_us()
         self.front.clients.touch(self)
 
     def missed(self, now: int) -> tuple[int, int]:
@@ -223,7 +230,7 @@
         side is shut, and the client, seeing the end, asks again on a new connection. Nothing that has come
         before is left unread: it is answered first."""
         self.retiring = True
-        now = clock()
+        now = monotonic_us()
         young = not self.asked and now - self.since < FIRST * 1e6  # its first request may be on its way
         due = self.deaf or not (young or self.began or self.reading or unread(self.sock))
         if due and not self.open and not self.shut_at:
@@ -233,20 +240,31 @@
 
     def let_go(self) -> None:
         """Make room for another client: what has been asked is answered, and nothing more is heard."""
+        self.close_reason = "room-for-others"
         self.front.clients.let_go(self)
         self.retire()
 
     def _gone(self, why: str) -> None:
         self.counters.add("clients_cut")
+        self.close_reason = "not-read"
         end(self.sock)
 
     def _leave(self) -> None:
+        self._log_close()
         for call in list(self.open.values()):
             call.leave()
         self.front.clients.discard(self)
         self.writer.close()
         end(self.sock)
 
+    def _log_close(self) -> None:
+        """Ordinary ends, by a client that is owed nothing, are only counted."""
+        self.counters.add(f"clients_closed.{self.close_reason}")
+        if self.open or self.close_reason not in ORDINARY_CLOSES:
+            requests = ",".join(c.request.query.id for c in self.open.values() if c.request) or "-"
+            self.core.log.write(Kind.CLIENT_CLOSED, reason=self.close_reason, open=len(self.open),
+                                requests=requests)
+
     @staticmethod
     def _frame(buffer: Buffer) -> bytes | None:
         head = buffer.peek(b"\r\n\r\n", HEAD_MOST)
@@ -330,6 +348,8 @@
         if full:  # no client that keeps to the protocol gets here
             self.faults += 1
             self.counters.add("refused.connection_full")
+            self.core.log.write(Kind.REFUSED, request=query.id, **{"class": query.class_name},
+                                reason="connection_full")
             self.counters.reply(query.class_name, "overload")
             call.refused(self.core.after_most)
         else:
@@ -346,7 +366,7 @@
     def _query(self, method: str, params) -> Query:
         """The query, if an engine can use all of it. Guards against what engines can't read: they close a
         connection on it, with the work of others."""
-        now = clock()
+        now = monotonic_us()
         if not isinstance(params, dict):
             raise RpcError(BAD_PARAMS, "params is no object")
         cls = self.front.classes[method]
