Last reading: one refusal at the door, one end of what goes unserved, one reading of the wall offset

Found: jsonrpc wrote Core's refusal at the door again (counter, reply, event, answer); four places logged that a request goes unserved and then answered it; the wall clock's offset was reckoned in three places, and two of the fleet's part read the Unix clock by themselves; _leaves read the clock three times; dead words in tests. Change: Core.refuse_unseen serves both fronts' doors; _end_unserved logs and answers; wall_offset_us and wall_us serve all. Behaviour is as it was. The retry budget's test judged nothing on a machine slower than its window; it judges always now, one attempt for each window begun (one, as before, within the first).

--- a/cypressledge/clock.py
+++ b/cypressledge/clock.py
@@ -17,15 +17,20 @@
     return time.time_ns() // 1000
 
 
+def wall_offset_us() -> int:
+    """µs by which the wall clock is ahead of the monotonic one at this moment."""
+    return wall_us() - monotonic_us()
+
+
 class StepWatch:
     """Compares the wall clock with the monotonic one, look by look."""
 
     def __init__(self) -> None:
-        self.offset = wall_us() - monotonic_us()
+        self.offset = wall_offset_us()
 
     def look(self) -> int:
         """µs by which the wall clock was stepped since the last look; 0 where it was not."""
-        offset = wall_us() - monotonic_us()
+        offset = wall_offset_us()
         moved = offset - self.offset
         self.offset = offset
         return moved if abs(moved) >= STEP_LEAST else 0
--- a/cypressledge/core.py
+++ b/cypressledge/core.py
@@ -87,9 +87,9 @@
     def take(self, query: Query, reply: Reply) -> Request | None:
         """Take a query; None, and a refusal at once, if there is no room or the broker is stopping."""
         if not self.taking or len(self.requests) >= self.open_most or self.held > self.held_most:
-            return self._refuse_unseen(query, reply, "no_room")
+            return self.refuse_unseen(query, reply, "no_room")
         if self.door is not None and not self.door(query):
-            return self._refuse_unseen(query, reply, "over_share")
+            return self.refuse_unseen(query, reply, "over_share")
         if self.stopping:  # work that would not end in time is refused, so that the client asks elsewhere
             query.due = min(query.due, self.ends_at)
         request = Request(next(self.numbers), query, reply)
@@ -100,11 +100,11 @@
         self._post(self._taken, request)
         return request
 
-    def _refuse_unseen(self, query: Query, reply: Reply, reason: str) -> None:
-        """Turn a query away at the door: the module never hears of it."""
+    def refuse_unseen(self, query: Query, reply: Reply, reason: str) -> None:
+        """Turn a query away at the door, a front's or the core's: the module never hears of it."""
         self.counters.add(f"refused.{reason}")
         self.counters.reply(query.class_name, "overload")
-        self.log.write(Kind.REFUSED, request=query.id, **{"class": query.class_name}, reason=reason)
+        self.log.write(Kind.REFUSED, request=query.id, class_=query.class_name, reason=reason)
         reply.refused(self.after_most)
 
     def knows(self, name: str) -> bool:
@@ -171,8 +171,8 @@
             was, now = before.get(name), states.get(name)
             if was != now:
                 told = {} if was is None or now is None or was[1] == now[1] else {"process": "new"}
-                self.log.write(Kind.ENGINE_STATE, engine=name, **told,
-                               **{"from": _state_name(was), "to": _state_name(now)})
+                self.log.write(
+                    Kind.ENGINE_STATE, engine=name, from_=_state_name(was), to=_state_name(now), **told)
 
     def names_engine(self, name: str) -> bool:
         """Whether a list names an engine of this name."""
@@ -246,10 +246,10 @@
     def _wait(self) -> None:
         self.woken.clear()
         if not self.inbox:
-            until = self.alarms[0][0] - monotonic_us() if self.alarms else 1_000_000
+            until = self.alarms[0][0] - self.now() if self.alarms else 1_000_000
             if until > 0:
                 self.woken.wait(until / 1e6)
-        pause = self.last + self.settings.tick - monotonic_us()
+        pause = self.last + self.settings.tick - self.now()
         sleep(min(max(pause, 0), self.settings.tick) / 1e6)
 
     def _at(self, when: int, what: Callable, arg: object) -> None:
@@ -289,8 +289,7 @@
         if request.over:
             return
         self.counters.invariant(request.begun is not None, "overdue")
-        self._log_unserved(Kind.FAILED, request, c.Reason.DEADLINE)
-        self._answer(request, "failed", LATE)
+        self._end_unserved(request, c.Reason.DEADLINE, "failed", LATE)
         self.events.append(c.ClientLeft(request.number))
 
     def _listed(self, kind: c.ListKind, engines: list[tuple[c.Entry, Place]]) -> None:
@@ -380,7 +379,7 @@
         outcome = last.outcome.name.lower() if last.outcome is not None else "out"
         self.counters.add(f"retry_after.{outcome}")
         self.log.write(
-            Kind.RETRY, request=request.query.id, **{"class": request.query.class_name}, attempt=attempt.hop,
+            Kind.RETRY, request=request.query.id, class_=request.query.class_name, attempt=attempt.hop,
             engine=attempt.place.name, after=outcome,
             since_first_ms=(attempt.sent_at - first.sent_at) // MS)
 
@@ -406,23 +405,22 @@
     def _refuse(self, a: c.Refuse) -> None:
         if (request := self.requests.get(a.request)) is not None and not request.over:
             if request.begun is None:
-                self._log_unserved(Kind.REFUSED, request, a.reason)
-                self._answer(request, "refused", self.after_most)
+                self._end_unserved(request, a.reason, "refused", self.after_most)
             else:  # rows went out: refusing would be a lie
-                self._log_unserved(Kind.FAILED, request, a.reason)
-                self._answer(request, "failed", LATE)
+                self._end_unserved(request, a.reason, "failed", LATE)
 
     def _fail(self, a: c.Fail) -> None:
         if (request := self.requests.get(a.request)) is not None and not request.over:
-            self._log_unserved(Kind.FAILED, request, a.reason)
-            self._answer(request, "failed", request.fault or LATE)
+            self._end_unserved(request, a.reason, "failed", request.fault or LATE)
 
-    def _log_unserved(self, kind: Kind, request: Request, reason: c.Reason) -> None:
-        query = request.query
+    def _end_unserved(self, request: Request, reason: c.Reason, how: str, *args) -> None:
+        """The final answer, with no rows, of a request that the module or its time has given up."""
+        query, kind = request.query, Kind.REFUSED if how == "refused" else Kind.FAILED
         self.counters.add(f"{kind}.{reason}")
         self.log.write(
-            kind, request=query.id, **{"class": query.class_name}, reason=reason,
+            kind, request=query.id, class_=query.class_name, reason=reason,
             attempts=len(request.attempts), left_ms=(query.due - self.now()) // MS)
+        self._answer(request, how, *args)
 
     def _timer(self, a: c.Timer) -> None:
         self._at(self.last + a.after, self._fire, a.token)
--- a/cypressledge/events.py
+++ b/cypressledge/events.py
@@ -55,7 +55,8 @@
         self.rates = {kind: _Rate() for kind in Kind}
 
     def write(self, kind: Kind, **fields: object) -> None:
-        """One event; a field's value must hold no blanks."""
+        """One event; a field's value must hold no blanks. A field named like a word of Python's has an
+        underscore behind it, which is not written."""
         now = monotonic_us()
         rate = self.rates[kind]
         if not rate.admits(now):
@@ -64,5 +65,5 @@
         if rate.held_back:
             fields["held_back"] = rate.held_back
             rate.held_back = 0
-        told = " ".join(f"{name}={value}" for name, value in fields.items())
+        told = " ".join(f"{name.rstrip('_')}={value}" for name, value in fields.items())
         log(f"{kind} at={(now - self.started) / SECOND:.3f} {told}")
--- a/cypressledge/fleet/node.py
+++ b/cypressledge/fleet/node.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from cypressledge.clock import wall_us
 from cypressledge.counters import Counters
 from cypressledge.fleet.clock import LeaseClock
 from cypressledge.fleet.events import logger
@@ -73,7 +74,7 @@
         self.log = logger(name, self.run_id) if log is None else log
         self.told, self.member_changed, self.call_off, self.tick = told, member_changed, call_off, tick
         self.handlers, self.urgent = dict(handlers or {}), URGENT | frozenset(urgent)
-        now, wall = clock.now(), wall or time.time_ns() // 1000
+        now, wall = clock.now(), wall or wall_us()
         self.exchange = Exchange(name, listen, counters, clock.now, self._head)
         self.members = Members(name, list(addresses), wall // 1000, round(ping_s * 1e6), self.run_id,
                                self.exchange.out, self._member_changed)
--- a/cypressledge/fleet/part.py
+++ b/cypressledge/fleet/part.py
@@ -4,10 +4,10 @@
 """
 
 import json
-import time
 
 import msgspec
 
+from cypressledge.clock import wall_us
 from cypressledge.config import Config, ConfigError, address
 from cypressledge.contract import State
 from cypressledge.core import Core
@@ -74,7 +74,7 @@
         return FleetNode(
             self.name, listen=listen, addresses=self._addresses(told), electorate=electorate,
             places=self._places(told), drift_ppm=told.drift_ppm, ping_s=told.ping_s, counters=self.counters,
-            clock=clock, wall=time.time_ns() // 1000 + round(told.lab.wall_step_s * 1e6),
+            clock=clock, wall=wall_us() + round(told.lab.wall_step_s * 1e6),
             told=self._lease_told, call_off=lambda lease: self.runner.call_off(lease), tick=self._tick,
             urgent=URGENT, turns_kept=TURNS_KEPT)
 
--- a/cypressledge/net/directory.py
+++ b/cypressledge/net/directory.py
@@ -11,7 +11,7 @@
 from gevent import Timeout, socket
 from gevent.event import Event
 
-from cypressledge.clock import monotonic_us, wall_us
+from cypressledge.clock import monotonic_us, wall_offset_us
 from cypressledge.contract import Entry, ListKind, State
 from cypressledge.core import Core, stable
 from cypressledge.counters import log
@@ -51,7 +51,7 @@
     def __init__(self, kinds: tuple[str, ...], zones: tuple[str, ...], wire: str) -> None:
         self.wire = wire
         self.told: tuple[ListKind, list[Listed]] | None = None
-        self.starts = Starts(wall_us() - monotonic_us())
+        self.starts = Starts(wall_offset_us())
         self.name(kinds, zones)
 
     def name(self, kinds: tuple[str, ...], zones: tuple[str, ...]) -> None:
--- a/cypressledge/net/jsonrpc.py
+++ b/cypressledge/net/jsonrpc.py
@@ -360,11 +360,7 @@
         self.open[call.number] = call
         if full:  # no client that keeps to the protocol gets here
             self.faults += 1
-            self.counters.add("refused.connection_full")
-            self.core.log.write(Kind.REFUSED, request=query.id, **{"class": query.class_name},
-                                reason="connection_full")
-            self.counters.reply(query.class_name, "overload")
-            call.refused(self.core.after_most)
+            self.core.refuse_unseen(query, call, "connection_full")
         else:
             call.request = self.core.take(query, call)
 
--- a/cypressledge/net/lines.py
+++ b/cypressledge/net/lines.py
@@ -267,8 +267,8 @@
         # that it never ran.
         if exchange.dropped:
             return False
-        attempt = exchange.attempt
-        if not attempt.may_leave(monotonic_us()) or self.place.id not in self.core.ready:
+        attempt, now = exchange.attempt, monotonic_us()
+        if not attempt.may_leave(now) or self.place.id not in self.core.ready:
             self._settle(exchange)
             self.core.counters.add("moot_sends")
             self.core.ended(attempt, Outcome.MOOT)
@@ -277,12 +277,12 @@
             self._settle(exchange)
             self.link.again(attempt, Outcome.MOOT)
             return False
-        if monotonic_us() - exchange.worded_at > WORDED_MOST:  # it names more time than the client has left
+        if now - exchange.worded_at > WORDED_MOST:  # it names more time than the client has left
             self._want(exchange)
             return False
         exchange.sent = True
         self.core.counters.reply(exchange.attempt.query.class_name, "dispatches")
-        self.unheard = self.unheard or monotonic_us()
+        self.unheard = self.unheard or now
         return True
 
     def _over(self) -> bool:
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -7,7 +7,6 @@
 import copy
 import signal
 import time
-from pathlib import Path
 
 import pytest
 
@@ -36,9 +35,9 @@
     return {"settings": settings}
 
 
-def broker_of(stage, *engines, change=None, env=None, **more):
+def broker_of(stage, *engines, change=None, env=None):
     """A broker under the stage's clock."""
-    return stage.broker(*engines, change=change, env=stage.clock.env | (env or {}), **more)
+    return stage.broker(*engines, change=change, env=stage.clock.env | (env or {}))
 
 
 def take_out(broker, engine, serial):
@@ -93,7 +92,7 @@
     for _ in range(3):
         client.ask()
         assert "result" in client.get()
-    assert Path(broker.log.name).read_text().count("request-refused") == 0
+    assert "request-refused" not in broker.words()
 
 
 @pytest.mark.parametrize("step", FAR_STEPS)
@@ -101,8 +100,7 @@
     """Requests taken long ago, by real time, buy no further attempts; attempts made just now still count."""
     window_s = 1.0
     engine = stage.engine()
-    broker = broker_of(stage, engine, change=site({"RatioSpan": round(window_s * 1e6), "MinExtra": 1.0}),
-                       env={"ROUTER_FIGURES_S": "0.05"})
+    broker = broker_of(stage, engine, change=site({"RatioSpan": round(window_s * 1e6), "MinExtra": 1.0}))
     client = stage.client(broker)
     for _ in range(60):  # the tenth part of these would be six further attempts
         client.ask("report", wait=20_000)
@@ -115,9 +113,9 @@
     for _ in range(4):
         client.ask("report", wait=20_000)
         assert "error" in client.get()
-    if time.monotonic() - began < window_s:  # else a slow machine has begun another window
-        further = len(engine.wants) - 60 - 4
-        assert further <= 1
+    windows = 1 + (time.monotonic() - began) // window_s  # more than one on a slow machine alone
+    further = len(engine.wants) - 60 - 4
+    assert further <= windows
 
 
 def test_a_step_between_retries_buys_no_further_attempts(stage):
@@ -216,7 +214,6 @@
     began = time.monotonic()
     for _ in range(30):
         client.ask("report", wait=20_000, cost=2_000.0)  # 60 s of work; cold, it may have 20 s of it in 2 s
-    client.sock.settimeout(0.5)
     until(lambda: time.monotonic() - began > 1.0, "a second of the cold engine's window")
     assert 1 <= len(fresh.wants) <= 10
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -1,4 +1,4 @@
-"""When engines count as started: Unix times of lists tell one process from another, and nothing else."""
+"""When engines count as started: ages by Unix times, under clocks of ours or theirs that are wrong."""
 
 from cypressledge.clock import BEGINNING, StepWatch, monotonic_us
 from cypressledge.maintenance import Maintenance
