Receive buffers: the largest message gives way, and is rejected under its own id

Cause: the growth of all receive buffers shared one budget, first come, first served. Once incomplete messages had used it up, BufferLimitError met whichever connection had to grow next, and was treated as invalid framing by that client. The client got "all buffers together hold too much", which ruled out the time limit for messages and the limit on statements.

Change: only what a connection holds while it waits is charged. When the budget is exhausted, the holder with the most bytes gives them up, whichever asks (the send queues' rule, now in net/byte_budget.py for both). Giving up ends nothing: the rest of the message is read, its outline kept (the JSON without long strings), and its call rejected under its id. Reads are 16 KB into one shared buffer, so an idle connection holds no buffer.

--- a/cypressledge/net/clickhouse/engine_exchange.py
+++ b/cypressledge/net/clickhouse/engine_exchange.py
@@ -95,7 +95,7 @@
         with Timeout(max((attempt.deadline - monotonic_us()) / 1e6, MIN_REMAINING / 1e6)):
             self.sock.sendall(self._encode_request(self._settings(), attempt.query.statement))
         self.core.counters.reply(attempt.query.class_name, "dispatches")
-        buffer = ReceiveBuffer(READ_SIZE, initial_size=READ_SIZE)
+        buffer = ReceiveBuffer(READ_SIZE, read_size=READ_SIZE, uncharged_size=READ_SIZE)
         while not response.is_complete and not self.cancelled:
             if not buffer.receive(self.sock):
                 raise ConnectionResetError("engine closed the connection before the end of its response")
--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -12,9 +12,10 @@
 
 from cypressledge.broker.metrics import Counters
 from cypressledge.clock import monotonic_us
+from cypressledge.net.byte_budget import ByteBudget
 from cypressledge.net.connection_registry import ConnectionRegistry, EvictionPriority, eviction_priority
 from cypressledge.net.listener import Listener
-from cypressledge.net.receive_buffer import ByteBudget, ReceiveBuffer
+from cypressledge.net.receive_buffer import ReceiveBuffer
 from cypressledge.net.socket_io import (
     FIRST_MESSAGE_TIMEOUT,
     LINGER_TIMEOUT,
@@ -105,7 +106,7 @@
 
     def run(self) -> None:
         """Read requests until the client closes the connection; an open exchange is then abandoned."""
-        buffer = ReceiveBuffer(READ_SIZE, initial_size=READ_SIZE)
+        buffer = ReceiveBuffer(READ_SIZE, read_size=READ_SIZE, uncharged_size=READ_SIZE)
         try:
             while not self.closing and receive(buffer, self.sock, self._read_timeout):
                 self._mark_active()
--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -12,10 +12,10 @@
 from cypressledge.clock import monotonic_us
 from cypressledge.net.connection_registry import EvictionPriority, eviction_priority
 from cypressledge.net.jsonrpc.errors import ErrorCode, FramingError, JsonRpcError
-from cypressledge.net.jsonrpc.framing import MAX_BODY_SIZE, MAX_HEADER_SIZE, take_frame
+from cypressledge.net.jsonrpc.framing import Frame, FrameReader
 from cypressledge.net.jsonrpc.pending_call import PendingCall
 from cypressledge.net.jsonrpc.request_ids import UsedRequestIds
-from cypressledge.net.receive_buffer import BufferLimitError, ReceiveBuffer
+from cypressledge.net.receive_buffer import BufferLimitError
 from cypressledge.net.socket_io import (
     FIRST_MESSAGE_TIMEOUT,
     LINGER_TIMEOUT,
@@ -63,6 +63,7 @@
     def __init__(self, frontend: "JsonRpcFrontend", sock: socket.socket) -> None:
         self.frontend, self.sock, self.core = frontend, sock, frontend.core
         self.counters = frontend.counters
+        self.reader = FrameReader(lambda: frontend.counters.add("clients.messages_skipped"))
         self.used_ids = UsedRequestIds()
         self.open_calls: dict[int, PendingCall] = {}
         self.writer = SocketWriter(sock, SEND_QUEUE_LIMIT, SEND_TIMEOUT, self._handle_send_failure)
@@ -79,9 +80,8 @@
 
     def run(self) -> None:
         """Read until the client closes, the framing is invalid, or nothing is received for too long."""
-        buffer = ReceiveBuffer(MAX_BODY_SIZE + MAX_HEADER_SIZE)
         try:
-            while self._receive(buffer):
+            while self._receive():
                 pass
         except (FramingError, BufferLimitError) as err:
             self._handle_framing_error(err)
@@ -90,12 +90,12 @@
         finally:
             self._close()
 
-    def _receive(self, buffer: ReceiveBuffer) -> bool:
+    def _receive(self) -> bool:
         """Read once and process complete messages; return False once there is nothing more to read."""
         try:
-            if not receive(buffer, self.sock, self._read_timeout):
+            if not receive(self.reader.buffer, self.sock, self._read_timeout):
                 return False
-            self._process(buffer)
+            self._process()
             return True
         except IdleTimeoutError:
             # Drain, not close: a request that is being received at this moment is answered first.
@@ -113,6 +113,7 @@
         answers to open calls. Input is discarded meanwhile, so that a close by the client is detected."""
         self.counters.add("clients.framing_errors")
         self.close_reason = CloseReason.FRAMING_ERROR
+        self.reader.close()
         self.send_error(None, ErrorCode.INVALID_REQUEST, f"bad framing: {err}")
         self.ignores_input = True
         self.drain()
@@ -121,18 +122,18 @@
     def _linger_timeout(self) -> float:
         return remaining_seconds(self.shutdown_at, LINGER_TIMEOUT) if self.shutdown_at else LINGER_TIMEOUT
 
-    def _process(self, buffer: ReceiveBuffer) -> None:
+    def _process(self) -> None:
         self.processing = True
         try:
-            self._process_frames(buffer)
+            self._process_frames()
         finally:
             self.processing = False
         if self.draining:
             self.drain()
 
-    def _process_frames(self, buffer: ReceiveBuffer) -> None:
+    def _process_frames(self) -> None:
         any_complete = False
-        while (frame := take_frame(buffer)) is not None:
+        while (frame := self.reader.take()) is not None:
             any_complete = True
             if self.writer.closed:  # received after the shutdown of the broker's side: cannot be answered
                 self.counters.add("clients.received_after_shutdown")
@@ -142,7 +143,7 @@
                 raise FramingError("too many errors")
         self.has_requested |= any_complete
         self._mark_active()
-        if not len(buffer):
+        if not self.reader.has_incomplete_message():
             self.message_began_at = 0
         elif any_complete or not self.message_began_at:
             self.message_began_at = self.last_active_at
@@ -212,6 +213,7 @@
         for call in list(self.open_calls.values()):
             call.cancel()
         self.frontend.connections.discard(self)
+        self.reader.close()
         self.writer.close()
         close_socket(self.sock)
 
@@ -247,15 +249,18 @@
 
     # Handling of calls
 
-    def _process_message(self, frame: bytes) -> None:
+    def _process_message(self, frame: Frame) -> None:
         call_id = None
         try:
             try:
-                message = json.loads(frame)
+                message = json.loads(frame.body)
             except (ValueError, RecursionError):
                 raise JsonRpcError(ErrorCode.PARSE_ERROR, "not JSON") from None
             method, call_id = self._method_and_id(message)
-            self._dispatch(method, call_id, message.get("params"))
+            if frame.is_outline and method in self.frontend.query_parser.classes:
+                self._reject_skipped(method, call_id, message.get("params"))
+            else:
+                self._dispatch(method, call_id, message.get("params"))
         except JsonRpcError as err:
             self.error_count += 1
             self.counters.add(f"rpc_error.{-err.code}")
@@ -302,6 +307,12 @@
         else:
             call.request = self.core.ledger.submit(query, call)
 
+    def _reject_skipped(self, method: str, call_id: int, params: object) -> None:
+        """Reject a query whose statement was not stored, as the receive buffers were full."""
+        query = self.frontend.query_parser.parse(method, params, has_statement=False)
+        call = self.open_calls[call_id] = PendingCall(self, call_id)
+        self.core.ledger.reject_at_admission(query, call, "receive_buffers_full")
+
     def _withdraw(self, call_id: object, params: object) -> None:
         """Cancel a call, named by its own id or by its query's id. A withdrawal is not answered."""
         self.counters.add("withdraws")
--- a/cypressledge/net/jsonrpc/query_parser.py
+++ b/cypressledge/net/jsonrpc/query_parser.py
@@ -27,8 +27,8 @@
         self.core, self.tenants = core, tenants
         self.classes = {name: index for index, name in enumerate(classes)}  # named like methods
 
-    def parse(self, method: str, params: object) -> Query:
-        """Return the query of a call. Raises `JsonRpcError`.
+    def parse(self, method: str, params: object, has_statement: bool = True) -> Query:
+        """Return the query of a call; its statement is empty if it was not stored. Raises `JsonRpcError`.
 
         Values that engines cannot read must be rejected here: an engine closes the connection on which it
         receives one, together with the attempts of other requests."""
@@ -43,7 +43,7 @@
         query_id, tenant = self._query_id(params), self._tenant(params)
         if params.get("retry", 0) not in (0, 1):
             raise _invalid("retry is not 1")
-        statement, text = _statement(params.get("content"))
+        statement, text = _statement(params.get("content")) if has_statement else (b"", "")
         return Query(
             id=query_id,
             class_index=class_index,
--- a/cypressledge/net/line_protocol/connection.py
+++ b/cypressledge/net/line_protocol/connection.py
@@ -23,7 +23,7 @@
     CANCELLED_ID_QUARANTINE,
     PendingAttempt,
 )
-from cypressledge.net.receive_buffer import MIN_READ_SIZE, BufferLimitError, ReceiveBuffer
+from cypressledge.net.receive_buffer import BufferLimitError, ReceiveBuffer
 from cypressledge.net.socket_io import (
     IdleTimeoutError,
     close_socket,
@@ -330,9 +330,9 @@
         self.transport.handle_connect_timeout(self, [pending.attempt for pending in waiting])
 
     def _read(self) -> None:
-        # The buffer never grows: clients that exhaust the budget of all buffers must not cost answers.
-        buffer_size = MAX_LINE_SIZE + MAX_PAGE_SIZE
-        buffer = ReceiveBuffer(buffer_size, initial_size=buffer_size + MIN_READ_SIZE)
+        # Nothing is charged to the budget of all buffers: clients that exhaust it must not cost answers.
+        max_message_size = MAX_LINE_SIZE + MAX_PAGE_SIZE
+        buffer = ReceiveBuffer(max_message_size, read_size=max_message_size, uncharged_size=max_message_size)
         reason = str(CloseReason.CLOSED_BY_ENGINE)
         try:
             while receive(buffer, self.sock, self._read_timeout):
--- a/cypressledge/net/receive_buffer.py
+++ b/cypressledge/net/receive_buffer.py
@@ -1,111 +1,137 @@
-"""Receive buffer of a connection, which grows as needed and is compacted in place."""
+"""Receive buffer of a connection, whose size is charged to a budget that all buffers share."""
+
+from collections.abc import Callable
 
 from gevent import socket
 
-INITIAL_SIZE = 4096  # bytes
-MIN_READ_SIZE = 2048  # bytes; minimum free space before a read
-SHRINK_THRESHOLD = 65536  # bytes; a larger buffer is replaced by one of the initial size once it is empty
+from cypressledge.net.byte_budget import ByteBudget
+
+UNCHARGED_SIZE = 4096  # bytes that each buffer may hold without a reservation
+READ_SIZE = 16 << 10  # bytes of one read
 DEFAULT_GROWTH_LIMIT = 8 << 20  # bytes; default until the configuration is known
+# Receives the bytes of each read. All buffers share it: nothing runs between a read and the copy.
+SHARED_READ_BUFFER = bytearray(64 << 10)
 
 
 class BufferLimitError(Exception):
     """One connection, or all connections together, would exceed the limit of unread bytes."""
 
 
-class ByteBudget:
-    """Limit on the bytes that all connections hold together, in addition to the limit of each connection."""
-
-    def __init__(self, limit: int) -> None:
-        self.limit, self.used = limit, 0
-
-    def reserve(self, size: int) -> bool:
-        """Reserve `size` bytes; return False, with nothing reserved, if they exceed the limit."""
-        if self.used + size > self.limit:
-            return False
-        self.used += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Return `size` reserved bytes."""
-        self.used -= size
-
-
-BUFFER_GROWTH = ByteBudget(DEFAULT_GROWTH_LIMIT)  # bytes of all buffers beyond their initial sizes
+BUFFER_GROWTH = ByteBudget(DEFAULT_GROWTH_LIMIT)  # bytes of all buffers beyond their uncharged sizes
 
 
 class ReceiveBuffer:
-    """Buffer in one bytearray, whose unread bytes lie between `start` and `end`."""
-
-    __slots__ = ("data", "start", "end", "limit", "initial_size", "was_filled")
-
-    def __init__(self, limit: int, initial_size: int = INITIAL_SIZE) -> None:
-        self.data = bytearray(initial_size)
-        self.start = self.end = 0
-        self.limit, self.initial_size = limit, initial_size
-        self.was_filled = False  # the last read used all free space; the peer may have sent more
+    """The received bytes of a connection that are not consumed yet."""
+
+    __slots__ = (
+        "limit",
+        "was_filled",
+        "_charged_bytes",
+        "_data",
+        "_on_give_up",
+        "_read_size",
+        "_uncharged_size",
+    )
+
+    def __init__(
+        self,
+        limit: int,
+        read_size: int = READ_SIZE,
+        uncharged_size: int = UNCHARGED_SIZE,
+        on_give_up: Callable[[], None] | None = None,
+    ) -> None:
+        """`on_give_up` must consume all bytes; it is called when other connections need the memory. Without
+        it, a read beyond the budget is an error, and other connections cannot take the bytes away. Sizes and
+        limit are in bytes, `read_size` is at most that of the shared read buffer."""
+        self.limit = limit
+        self.was_filled = False  # the last read got all that it asked for; the peer may have sent more
+        self._data = bytearray()
+        self._read_size, self._uncharged_size = read_size, uncharged_size
+        self._charged_bytes = 0
+        self._on_give_up = on_give_up
 
     def __del__(self) -> None:
-        BUFFER_GROWTH.release(len(self.data) - self.initial_size)
+        self.close()
 
     def __len__(self) -> int:
-        return self.end - self.start
+        return len(self._data)
+
+    @property
+    def held_bytes(self) -> int:
+        """See `BudgetHolder`."""
+        return self._charged_bytes
+
+    def give_up_bytes(self) -> None:
+        """See `BudgetHolder`."""
+        if self._on_give_up is not None:
+            self._on_give_up()
 
     def receive(self, sock: socket.socket) -> int:
         """Read once from the socket; return the number of bytes, 0 at the end of the stream.
 
-        Does not yield to other greenlets once bytes are read: a timeout raised there would lose them.
-        Raises `BufferLimitError` and `OSError`."""
-        self._make_space()
-        with memoryview(self.data) as view, view[self.end :] as free:
-            received = sock.recv_into(free)
-            self.was_filled = received == len(free)
-        self.end += received
+        Bytes that are still held from earlier reads are charged to the budget before the wait. Does not yield
+        to other greenlets once bytes are read: a timeout raised there would lose them. Raises
+        `BufferLimitError` and `OSError`."""
+        self._charge_held_bytes()
+        received = sock.recv_into(SHARED_READ_BUFFER, self._read_size)
+        self.was_filled = received == self._read_size
+        with memoryview(SHARED_READ_BUFFER) as view:
+            self._data += view[:received]
         return received
 
-    def _make_space(self) -> None:
-        if len(self.data) - self.end >= MIN_READ_SIZE:
+    def _charge_held_bytes(self) -> None:
+        if len(self) >= self.limit:
+            raise BufferLimitError(f"{len(self)} bytes unread")
+        growth = len(self) - self._uncharged_size - self._charged_bytes
+        if growth <= 0:
             return
-        unread = len(self)
-        if unread >= self.limit:
-            raise BufferLimitError(f"{unread} bytes unread")
-        if self.start:
-            self.data[:unread] = self.data[self.start : self.end]
-            self.start, self.end = 0, unread
-        if len(self.data) - unread < MIN_READ_SIZE:
-            growth = max(len(self.data), MIN_READ_SIZE)
+        if self._on_give_up is None:
             if not BUFFER_GROWTH.reserve(growth):
                 raise BufferLimitError("all buffers together hold too much")
-            self.data.extend(bytes(growth))
+        elif not BUFFER_GROWTH.reserve_for(self, growth):
+            return
+        else:
+            BUFFER_GROWTH.holders.add(self)
+        self._charged_bytes += growth
 
     def peek_until(self, delimiter: bytes, limit: int) -> bytes | None:
         """Return the bytes before the delimiter without removing them; None until it has been received.
 
         Raises `BufferLimitError` if the delimiter is not within the first `limit` bytes."""
-        at = self.data.find(delimiter, self.start, self.end)
-        if at < 0 or at - self.start > limit:
+        at = self._data.find(delimiter)
+        if at < 0 or at > limit:
             if len(self) > limit:
                 raise BufferLimitError(f"no end of line in {limit} bytes")
             return None
-        return bytes(self.data[self.start : at])
+        return bytes(self._data[:at])
 
     def take(self, size: int) -> bytes | None:
         """Remove and return `size` bytes; None until that many have been received."""
         if len(self) < size:
             return None
-        taken = bytes(self.data[self.start : self.start + size])
-        self._advance(self.start + size)
+        with memoryview(self._data) as view:
+            taken = bytes(view[:size])
+        del self._data[:size]
+        self._release_charge()
         return taken
 
     def take_all(self) -> bytes:
         """Remove and return all unread bytes."""
-        taken = bytes(self.data[self.start : self.end])
-        self._advance(self.end)
+        taken = bytes(self._data)
+        self._data.clear()
+        self._release_charge()
         return taken
 
-    def _advance(self, start: int) -> None:
-        self.start = start
-        if self.start == self.end:
-            self.start = self.end = 0
-            if len(self.data) > SHRINK_THRESHOLD:
-                BUFFER_GROWTH.release(len(self.data) - self.initial_size)
-                self.data = bytearray(self.initial_size)
+    def close(self) -> None:
+        """Drop all bytes and return what is charged for them."""
+        self._data.clear()
+        self._release_charge()
+
+    def _release_charge(self) -> None:
+        surplus = self._charged_bytes - max(len(self) - self._uncharged_size, 0)
+        if surplus <= 0:
+            return
+        BUFFER_GROWTH.release(surplus)
+        self._charged_bytes -= surplus
+        if not self._charged_bytes:
+            BUFFER_GROWTH.holders.discard(self)
