ClickHouse engines: nothing that follows or precedes an answer becomes a part of it

Cause: all bytes of a read went to the parser, which begins the next message by itself, and EngineResponse went on adding rows after on_message_complete.

Change: EngineResponse looks at its own end. What follows is surplus, which is ignored and keeps the connection from being used again, also where it is no HTTP (before, the parser's error made a complete answer a failed one). A response whose X-ClickHouse-Query-Id names another query is skipped: it was served as the own one.

--- a/cypressledge/net/clickhouse/engine_exchange.py
+++ b/cypressledge/net/clickhouse/engine_exchange.py
@@ -101,7 +101,7 @@
                 raise ConnectionResetError("engine closed the connection before the end of its response")
             if buffer.was_filled:
                 sleep(0)
-            response.parser.feed_data(buffer.take_all())
+            response.feed(buffer.take_all())
             self._wait_for_consumer()
         return response.result()
 
--- a/cypressledge/net/clickhouse/engine_response.py
+++ b/cypressledge/net/clickhouse/engine_response.py
@@ -24,7 +24,11 @@
 
 
 class EngineResponse:
-    """One response. httptools calls the `on_` methods; an exception in them ends the exchange."""
+    """The response to one attempt. httptools calls the `on_` methods; an exception in them ends the exchange.
+
+    An engine may send more than the response: one under the id of another query in front of it, or a second
+    copy behind it. Neither becomes a part of the answer.
+    """
 
     def __init__(self, core: BrokerCore, attempt: Attempt) -> None:
         self.core, self.attempt = core, attempt
@@ -35,11 +39,22 @@
         self.buffered_size = 0
         self.unscanned = b""  # the last bytes received, which may be the beginning of a tag
         self.is_complete = False
-        self.parser = httptools.HttpResponseParser(self)
+        self._is_foreign = False  # the response that is being parsed belongs to another query
+        self._has_surplus = False  # something followed the complete response
+        self._parser = httptools.HttpResponseParser(self)
+
+    def feed(self, received: bytes) -> None:
+        """Parse received bytes. Raises `httptools.HttpParserError` unless the response is complete."""
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserError:
+            if not self.is_complete:
+                raise
+            self._has_surplus = True
 
     def allows_reuse(self) -> bool:
         """Return whether the connection may be used for a further exchange."""
-        return self.is_complete and self.parser.should_keep_alive()
+        return self.is_complete and not self._has_surplus and self._parser.should_keep_alive()
 
     def result(self) -> EngineResult:
         """Return the outcome of the attempt after a complete response."""
@@ -60,14 +75,27 @@
 
     # Callbacks of the httptools parser
 
+    def on_message_begin(self) -> None:
+        """Handle the beginning of a response, or of what follows the complete one."""
+        if self.is_complete:
+            self._has_surplus = True
+            return
+        self._is_foreign = False
+        self.status = self.exception_code = 0
+        self.exception_tag = b""
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle one header field; progress arrives in headers while the query runs. Raises `ValueError`."""
+        if self.is_complete:
+            return
         name = name.lower()
         if name == b"x-clickhouse-exception-code":
             self.exception_code = int(value)
         elif name == b"x-clickhouse-exception-tag":
             self.exception_tag = b"\r\n__exception__\r\n" + value
-        elif name == b"x-clickhouse-progress":
+        elif name == b"x-clickhouse-query-id":
+            self._is_foreign = value.decode("latin-1") != self.attempt.query.id
+        elif name == b"x-clickhouse-progress" and not self._is_foreign:
             self._handle_progress(value)
 
     def _handle_progress(self, value: bytes) -> None:
@@ -79,10 +107,13 @@
 
     def on_headers_complete(self) -> None:
         """Store the HTTP status."""
-        self.status = self.parser.get_status_code()
+        if not self.is_complete:
+            self.status = self._parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
         """Handle a part of the body: rows, or the text of an error. Raises `ValueError`."""
+        if self.is_complete or self._is_foreign:
+            return
         if self.status != 200 or self.exception_code:
             if self.buffered_size < MAX_ERROR_SIZE:
                 self.buffered_parts.append(body[: MAX_ERROR_SIZE - self.buffered_size])
@@ -116,6 +147,11 @@
 
     def on_message_complete(self) -> None:
         """Mark the response as complete at the HTTP level, and pass on the last rows."""
+        if self.is_complete:
+            return
+        if self._is_foreign:
+            self.core.counters.add("clickhouse.foreign_responses")
+            return
         if self.unscanned:
             self._handle_rows(self.unscanned)
         self.is_complete = True
