JSON-RPC: a rejection for statement bytes is no error of the client

Cause: _submit counted both of its limits, open calls and statement bytes, as errors of the client, and over 16 errors its input was ignored at once.

Change: only calls over the protocol's 32 count. Over 16 errors the connection is drained, so what the client has written is answered; input is ignored over 32 errors.

--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -39,7 +39,8 @@
 MESSAGE_TIMEOUT = 2.0  # seconds from the first byte of a message to its last
 DRAIN_CHECK_INTERVAL = 0.05  # seconds between checks of a draining connection that cannot be closed yet
 IDLE_TIMEOUT = 10.0  # seconds without an open call until a connection is closed; most clients close after 4
-MAX_ERRORS = 16  # error answers per connection, after which it is closed
+MAX_ERRORS = 16  # error answers per connection, after which it is drained
+MAX_ERRORS_WHILE_DRAINING = 32  # error answers per connection, after which its input is ignored
 MAX_REQUEST_ID = 1 << 53
 
 
@@ -139,8 +140,11 @@
                 self.counters.add("clients.received_after_shutdown")
                 continue
             self._process_message(frame)
-            if self.error_count > MAX_ERRORS:
+            if self.error_count > MAX_ERRORS_WHILE_DRAINING:
                 raise FramingError("too many errors")
+        self.draining |= (
+            self.error_count > MAX_ERRORS
+        )  # what the client has already written is still answered
         self.has_requested |= any_complete
         self._mark_active()
         if not self.reader.has_incomplete_message():
@@ -296,13 +300,12 @@
     def _submit(self, query: Query, call: PendingCall) -> None:
         # One client's statements must not use up the limit for all clients: the others would be rejected.
         held_bytes = sum(len(c.request.query.statement) for c in self.open_calls.values() if c.request)
-        is_full = (
-            len(self.open_calls) >= MAX_OPEN_CALLS
-            or held_bytes > self.core.ledger.max_statement_bytes // STATEMENT_BYTES_DIVISOR
-        )
+        has_too_many_calls = len(self.open_calls) >= MAX_OPEN_CALLS
+        holds_too_much = held_bytes > self.core.ledger.max_statement_bytes // STATEMENT_BYTES_DIVISOR
         self.open_calls[call.call_id] = call
-        if is_full:  # a client that follows the protocol does not get here
+        if has_too_many_calls:  # a client that follows the protocol does not get here
             self.error_count += 1
+        if has_too_many_calls or holds_too_much:
             self.core.ledger.reject_at_admission(query, call, "connection_full")
         else:
             call.request = self.core.ledger.submit(query, call)
--- a/tests/net/jsonrpc/test_jsonrpc_invalid_clients.py
+++ b/tests/net/jsonrpc/test_jsonrpc_invalid_clients.py
@@ -1,6 +1,7 @@
 """JSON-RPC clients that send nothing, too much, or values that engines cannot read."""
 
 import time
+from types import SimpleNamespace
 
 import pytest
 
@@ -90,6 +91,20 @@
         assert second.get()["error"]["code"] == -32602
         self.served_engine.play = answer_at_once
 
+    def test_what_was_written_before_too_many_errors_is_answered(self):
+        """Regression: over 16 errors, the rest of what the client had written was dropped unanswered."""
+        client = self.client(self.broker_process)
+        messages = []
+        real_socket, client.sock = client.sock, SimpleNamespace(sendall=messages.append)
+        for _ in range(20):
+            client.send("nothing")
+        client.ask()
+        client.sock = real_socket
+        client.sock.sendall(b"".join(messages))
+        answers = self.answers_until_closed(client)
+        assert [answer["id"] for answer in answers] == list(range(1, 22))
+        assert result_rows(answers[-1]) == ROW
+
     def test_repeated_errors_end_the_connection(self):
         client = self.client(self.broker_process)
         for _ in range(40):
--- a/tests/race_conditions/test_resource_exhaustion.py
+++ b/tests/race_conditions/test_resource_exhaustion.py
@@ -163,6 +163,25 @@
             client.send("status")
             client.get()
 
+    def test_rejections_for_the_statement_bytes_of_a_connection_end_nothing(self):
+        """Regression: after 17 such rejections, whole requests of the same client were dropped unanswered."""
+        engine = self.engine(answer_on_release)
+        engine.released = False
+        broker = self.broker(
+            engine, change=limits(memory_mb=30)
+        )  # a connection may hold 128 KB of statements
+        client = self.client(broker)
+        statement = b"SELECT '" + b"x" * 70_000 + b"'"
+        held = {client.ask("report", statement=statement, wait=20_000) for _ in range(2)}
+        rejected = {client.ask("report", statement=statement, wait=20_000) for _ in range(40)}
+        rejections = [client.get() for _ in rejected]
+        assert {answer["id"] for answer in rejections} == rejected
+        assert all(answer["error"]["code"] == -32066 for answer in rejections)
+        engine.released = True
+        assert {client.get()["id"] for _ in held} == held
+        client.ask()
+        assert result_rows(client.get()) == ROW
+
     def test_one_client_s_statements_leave_capacity_for_the_others(self):
         """Regression: thirty large statements on one connection exhausted the limit, and other clients were
         rejected."""
