HTTP: the last answer on a connection is not reset by bytes of the client

What callers saw: the end of a long answer with `Connection: close` was missing once the client had sent anything more.

Cause: finish_exchange closed the socket as soon as the answer was with the kernel. A close over unread bytes, or bytes that arrive after it, reset the connection, and the kernel drops what it has not delivered.

--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -8,7 +8,7 @@
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import httptools
-from gevent import socket
+from gevent import socket, spawn_later
 
 from cypressledge.broker.metrics import Counters
 from cypressledge.clock import monotonic_us
@@ -95,6 +95,7 @@
         self.waiting: deque[HttpRequest] = deque()
         self.current: HttpExchange | None = None
         self.closing = False
+        self.shutdown_at = 0  # µs; when the broker's side was shut down, 0 if it was not
         self.held_bytes = 0  # reserved from `REQUEST_BODIES`
         self.connected_at = self.last_active_at = monotonic_us()
         self.request_began_at = 0  # µs; first byte of an incomplete request, 0 if there is none
@@ -112,6 +113,8 @@
                 self._mark_active()
                 self.parser.feed_data(buffer.take_all())
                 self._handle_next()
+            if self.closing:
+                discard_until_closed(self.sock, self._linger_timeout)
         except httptools.HttpParserCallbackError as err:
             # The parser wraps exceptions of its callbacks; unwrap a limit error to answer with its status.
             cause = err.__context__
@@ -152,8 +155,23 @@
     def close_idle(self) -> None:
         """Make room for another client: shut down the broker's side, and read nothing more."""
         self.server.connections.mark_closing(self)
+        self._shut_down()
+
+    def _shut_down(self) -> None:
+        """Read no further requests, and shut down the broker's side once all answers are sent.
+
+        Closing the socket with unread bytes would reset the connection, and the last answer could be lost."""
         self.closing = True
-        self.writer.close(lambda: shutdown_write(self.sock))
+        self.writer.close(self._handle_all_sent)
+
+    def _handle_all_sent(self) -> None:
+        self.shutdown_at = monotonic_us()
+        self.server.connections.mark_closing(self)
+        shutdown_write(self.sock)
+        spawn_later(LINGER_TIMEOUT, close_socket, self.sock)
+
+    def _linger_timeout(self) -> float:
+        return remaining_seconds(self.shutdown_at, LINGER_TIMEOUT) if self.shutdown_at else LINGER_TIMEOUT
 
     def _reject_unreadable(self, status: HTTPStatus) -> None:
         """Answer with an error, unless an exchange is open, and stop reading.
@@ -161,12 +179,9 @@
         The error must not be mixed into the answer of the open exchange."""
         self.server.counters.add(f"{self.server.name}.bad_http")
         if self.current is None:
-            self.closing = True
             self.current = HttpExchange(self, HttpRequest(keep_alive=False))
             self.current.answer(status, {}, status.phrase.encode() + b"\n")
-            self.writer.close(lambda: shutdown_write(self.sock))
-            since = monotonic_us()
-            discard_until_closed(self.sock, lambda: remaining_seconds(since, LINGER_TIMEOUT))
+            discard_until_closed(self.sock, self._linger_timeout)
 
     def _release(self, size: int) -> None:
         self.held_bytes -= size
@@ -253,10 +268,8 @@
         self._mark_active()
         if keep_alive:
             self._handle_next()
-        else:
-            on_drained = None if self.closing else lambda: close_socket(self.sock)
-            self.closing = True
-            self.writer.close(on_drained)
+        elif not self.closing:
+            self._shut_down()
 
 
 class HttpExchange:
