HTTP: a request that was read is answered, whatever follows it on its connection

What callers saw: over four waiting requests of a pipeline, bytes that are no HTTP, or a request incomplete for 5 s closed the connection, and neither the request that ran nor the waiting ones got an answer. A request for an upgrade got an error.

Cause: _reject_unreadable ended the connection at once unless nothing was open, and MAX_PIPELINED was an error.

Change: the error is queued behind the requests before it; its own answer is the last. No more bytes are parsed while four requests wait; a client that leaves meanwhile is seen by poll. A request for an upgrade without a body is answered as if it asked for none.

--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -8,7 +8,7 @@
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import httptools
-from gevent import socket, spawn_later
+from gevent import sleep, socket, spawn_later
 
 from cypressledge.broker.metrics import Counters
 from cypressledge.clock import monotonic_us
@@ -24,6 +24,7 @@
     close_socket,
     discard_until_closed,
     flush_connections,
+    peer_has_closed,
     receive,
     remaining_seconds,
     shutdown_write,
@@ -32,7 +33,9 @@
 
 READ_SIZE = 16 << 10  # bytes per read; the parser consumes all of them
 MAX_HEAD_SIZE = 64 << 10  # bytes; request target and all header fields together
-MAX_PIPELINED = 4  # requests queued on one connection
+PARSED_SIZE = 512  # bytes that are parsed at once: they contain few requests
+MAX_PIPELINED = 4  # requests queued on one connection, beyond which no more bytes are parsed
+QUEUE_POLL_INTERVAL = 0.02  # seconds between checks whether a request has left the queue
 # Bytes of bodies whose requests are not handled yet, of all connections; default until the configuration is
 # known.
 REQUEST_BODIES = ByteBudget(8 << 20)
@@ -62,6 +65,7 @@
     version: str = "1.1"
     keep_alive: bool = True
     has_length: bool = False  # it has a Content-Length or Transfer-Encoding header
+    rejection: HTTPStatus | None = None  # answered with this status, and not handled
 
 
 class HttpServer:
@@ -111,26 +115,50 @@
         try:
             while not self.closing and receive(buffer, self.sock, self._read_timeout):
                 self._mark_active()
-                self.parser.feed_data(buffer.take_all())
-                self._handle_next()
+                self._process(buffer.take_all())
             if self.closing:
                 discard_until_closed(self.sock, self._linger_timeout)
-        except httptools.HttpParserCallbackError as err:
-            # The parser wraps exceptions of its callbacks; unwrap a limit error to answer with its status.
-            cause = err.__context__
-            status = cause.status if isinstance(cause, RequestLimitError) else HTTPStatus.BAD_REQUEST
-            self._reject_unreadable(status)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError):
-            self._reject_unreadable(HTTPStatus.BAD_REQUEST)
         except IdleTimeoutError:
             self.server.counters.add(f"{self.server.name}.idle")
             if self.request_began_at:
-                self._reject_unreadable(HTTPStatus.REQUEST_TIMEOUT)
+                self._reject_input(HTTPStatus.REQUEST_TIMEOUT)
         except OSError:
             pass
         finally:
             self._close()
 
+    def _process(self, received: bytes) -> None:
+        """Parse received bytes and handle the requests in them; pause while enough requests are queued."""
+        try:
+            for begin in range(0, len(received), PARSED_SIZE):
+                self._wait_for_queue()
+                self.parser.feed_data(received[begin : begin + PARSED_SIZE])
+                self._handle_next()
+        except httptools.HttpParserCallbackError as err:
+            # The parser wraps exceptions of its callbacks; unwrap a limit error to answer with its status.
+            cause = err.__context__
+            status = cause.status if isinstance(cause, RequestLimitError) else HTTPStatus.BAD_REQUEST
+            self._reject_input(status)
+        except httptools.HttpParserUpgrade:
+            # No upgrade is supported. What follows the head cannot be parsed, and a body is a part of that.
+            request = self.waiting[-1]
+            request.keep_alive = False
+            request.rejection = HTTPStatus.BAD_REQUEST if request.has_length else None
+            self._end_input()
+        except (httptools.HttpParserError, ValueError):
+            self._reject_input(HTTPStatus.BAD_REQUEST)
+
+    def _wait_for_queue(self) -> None:
+        """Wait until a request can be queued. Raises `ConnectionResetError` if the client closes."""
+        if len(self.waiting) < MAX_PIPELINED:
+            return
+        while len(self.waiting) >= MAX_PIPELINED and not self.closing:
+            if peer_has_closed(self.sock):
+                raise ConnectionResetError("client closed while its requests were queued")
+            sleep(QUEUE_POLL_INTERVAL)
+        if self.request_began_at:
+            self.request_began_at = monotonic_us()  # the rest of the request was not read meanwhile
+
     def _read_timeout(self) -> float:
         """Return the seconds within which the client must send more bytes.
 
@@ -173,15 +201,18 @@
     def _linger_timeout(self) -> float:
         return remaining_seconds(self.shutdown_at, LINGER_TIMEOUT) if self.shutdown_at else LINGER_TIMEOUT
 
-    def _reject_unreadable(self, status: HTTPStatus) -> None:
-        """Answer with an error, unless an exchange is open, and stop reading.
-
-        The error must not be mixed into the answer of the open exchange."""
+    def _reject_input(self, status: HTTPStatus) -> None:
+        """Answer input that cannot be read with an error, after the requests before it, and read no more."""
         self.server.counters.add(f"{self.server.name}.bad_http")
-        if self.current is None:
-            self.current = HttpExchange(self, HttpRequest(keep_alive=False))
-            self.current.answer(status, {}, status.phrase.encode() + b"\n")
-            discard_until_closed(self.sock, self._linger_timeout)
+        self.waiting.append(HttpRequest(keep_alive=False, rejection=status))
+        self._end_input()
+
+    def _end_input(self) -> None:
+        """Read no further requests, but answer the queued ones, of which the last one ends the connection.
+
+        Input is discarded meanwhile, so that a close by the client is detected."""
+        self._handle_next()
+        discard_until_closed(self.sock, self._linger_timeout)
 
     def _release(self, size: int) -> None:
         self.held_bytes -= size
@@ -243,7 +274,7 @@
         self.body_parts.append(body)
 
     def on_message_complete(self) -> None:
-        """Queue the complete request. Raises `RequestLimitError`."""
+        """Queue the complete request."""
         self.request_began_at, self.has_requested = 0, True
         request, target = self.request, urlsplit(self.url.decode("latin-1"))
         request.method, request.version = self.parser.get_method().decode(), self.parser.get_http_version()
@@ -251,16 +282,19 @@
         request.path = unquote(target.path)
         request.params = dict(parse_qsl(target.query, keep_blank_values=True))
         self.waiting.append(request)
-        if len(self.waiting) > MAX_PIPELINED:
-            raise RequestLimitError(HTTPStatus.TOO_MANY_REQUESTS)
 
     # Sequence of exchanges
 
     def _handle_next(self) -> None:
-        if self.current is None and self.waiting and not self.closing:
-            self.current = HttpExchange(self, self.waiting.popleft())
-            self._release(len(self.current.request.body))
-            self.server.handle(self.current.request, self.current)
+        if self.current is not None or not self.waiting or self.closing:
+            return
+        request = self.waiting.popleft()
+        self.current = HttpExchange(self, request)
+        self._release(len(request.body))
+        if request.rejection is None:
+            self.server.handle(request, self.current)
+        else:
+            self.current.answer(request.rejection, {}, request.rejection.phrase.encode() + b"\n")
 
     def finish_exchange(self, keep_alive: bool) -> None:
         """End the current exchange, answered completely or not, and handle the next request or close."""
