HTTP: incomplete bodies of some clients cost no other client its request

What callers saw: once incomplete bodies had used up the limit of all, whole requests got 503, and what ran on their connections got no answer.

Change: ByteBudget.reserve_for, as for the receive buffers: the connection with the most bytes gives up its bodies. Their requests are rejected with 503 and Retry-After when their turn comes, and the connection stays usable.

--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -35,6 +35,7 @@
 MAX_HEAD_SIZE = 64 << 10  # bytes; request target and all header fields together
 PARSED_SIZE = 512  # bytes that are parsed at once: they contain few requests
 MAX_PIPELINED = 4  # requests queued on one connection, beyond which no more bytes are parsed
+RETRY_AFTER = {"Retry-After": "1"}  # seconds; headers of a rejection for lack of memory
 QUEUE_POLL_INTERVAL = 0.02  # seconds between checks whether a request has left the queue
 # Bytes of bodies whose requests are not handled yet, of all connections; default until the configuration is
 # known.
@@ -100,7 +101,7 @@
         self.current: HttpExchange | None = None
         self.closing = False
         self.shutdown_at = 0  # µs; when the broker's side was shut down, 0 if it was not
-        self.held_bytes = 0  # reserved from `REQUEST_BODIES`
+        self._held_bytes = 0  # reserved from `REQUEST_BODIES`
         self.connected_at = self.last_active_at = monotonic_us()
         self.request_began_at = 0  # µs; first byte of an incomplete request, 0 if there is none
         self.has_requested = False
@@ -214,15 +215,31 @@
         self._handle_next()
         discard_until_closed(self.sock, self._linger_timeout)
 
+    @property
+    def held_bytes(self) -> int:
+        """See `BudgetHolder`: the bytes of bodies whose requests are not handled yet."""
+        return self._held_bytes
+
+    def give_up_bytes(self) -> None:
+        """See `BudgetHolder`: drop the bodies, and reject their requests when their turn comes."""
+        self.server.counters.add(f"{self.server.name}.bodies_dropped")
+        is_incomplete = self.request_began_at != 0
+        for request in (*self.waiting, *([self.request] if is_incomplete else [])):
+            request.rejection, request.body = HTTPStatus.SERVICE_UNAVAILABLE, b""
+        self.body_parts.clear()
+        self._release(self._held_bytes)
+
     def _release(self, size: int) -> None:
-        self.held_bytes -= size
+        self._held_bytes -= size
         REQUEST_BODIES.release(size)
+        if not self._held_bytes:
+            REQUEST_BODIES.holders.discard(self)
 
     def _close(self) -> None:
         if self.current is not None:
             self.current.handle_disconnect()
         self.server.connections.discard(self)
-        self._release(self.held_bytes)
+        self._release(self._held_bytes)
         self.writer.close()
         self.writer.flushed.wait(SEND_TIMEOUT)
         close_socket(self.sock)
@@ -268,10 +285,10 @@
         self.body_size += len(body)
         if self.body_size > self.server.max_body_size:
             raise RequestLimitError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if not REQUEST_BODIES.reserve(len(body)):
-            raise RequestLimitError(HTTPStatus.SERVICE_UNAVAILABLE)
-        self.held_bytes += len(body)
-        self.body_parts.append(body)
+        if self.request.rejection is None and REQUEST_BODIES.reserve_for(self, len(body)):
+            self._held_bytes += len(body)
+            REQUEST_BODIES.holders.add(self)
+            self.body_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
@@ -294,7 +311,8 @@
         if request.rejection is None:
             self.server.handle(request, self.current)
         else:
-            self.current.answer(request.rejection, {}, request.rejection.phrase.encode() + b"\n")
+            headers = RETRY_AFTER if request.rejection is HTTPStatus.SERVICE_UNAVAILABLE else {}
+            self.current.answer(request.rejection, headers, request.rejection.phrase.encode() + b"\n")
 
     def finish_exchange(self, keep_alive: bool) -> None:
         """End the current exchange, answered completely or not, and handle the next request or close."""
--- a/tests/net/clickhouse/clickhouse_test_case.py
+++ b/tests/net/clickhouse/clickhouse_test_case.py
@@ -19,11 +19,14 @@
 class ClickHouseTestCase(BrokerTestCase):
     """Starts a broker with a service file, whose engines are discovered by DNS-SD, and queries it."""
 
-    def start_service(self, *engines, lines=()):
-        """Start the broker with these ClickHouse engines, and with `lines`, engines of the line protocol."""
+    def start_service(self, *engines, lines=(), change=None):
+        """Start the broker with these ClickHouse engines, and with `lines`, engines of the line protocol.
+
+        `change` replaces top-level keys of the configuration."""
         self.port, self.admin = free_port(), free_port()
         broker = self.broker(
             *lines,
+            change=change,
             env={"ADMIN": TOKEN, "ENGINE": "secret"},
             service=lambda process: f"""
             [clickhouse]
