HTTP: a header field without an end is rejected once it is too long

What callers saw: a header field that never ended was held whole for five seconds, however long it was, and copied anew with each read.

Cause: the parser reports a field only at its end, and the limit on heads was checked in its callbacks.

Change: the bytes received since the last part of a body are counted, which covers heads, trailers and the extensions of chunks.

Measured: the new test failed on (408 after five seconds in place of 431).

--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -32,7 +32,7 @@
 from cypressledge.net.socket_writer import SocketWriter
 
 READ_SIZE = 16 << 10  # bytes per read; the parser consumes all of them
-MAX_HEAD_SIZE = 64 << 10  # bytes; request target and all header fields together
+MAX_HEAD_SIZE = 64 << 10  # bytes without a body's part: request target and header fields, or trailers
 PARSED_SIZE = 512  # bytes that are parsed at once: they contain few requests
 MAX_PIPELINED = 4  # requests queued on one connection, beyond which no more bytes are parsed
 RETRY_AFTER = {"Retry-After": "1"}  # seconds; headers of a rejection for lack of memory
@@ -133,8 +133,10 @@
         try:
             for begin in range(0, len(received), PARSED_SIZE):
                 self._wait_for_queue()
-                self.parser.feed_data(received[begin : begin + PARSED_SIZE])
+                self._parse(received[begin : begin + PARSED_SIZE])
                 self._handle_next()
+        except RequestLimitError as err:
+            self._reject_input(err.status)
         except httptools.HttpParserCallbackError as err:
             # The parser wraps exceptions of its callbacks; unwrap a limit error to answer with its status.
             cause = err.__context__
@@ -149,6 +151,15 @@
         except (httptools.HttpParserError, ValueError):
             self._reject_input(HTTPStatus.BAD_REQUEST)
 
+    def _parse(self, received: bytes) -> None:
+        """Parse received bytes. Raises `RequestLimitError` and the parser's errors.
+
+        The parser holds a header field until its end has been received, so its callbacks cannot limit it."""
+        self.head_size += len(received)
+        self.parser.feed_data(received)
+        if self.head_size > MAX_HEAD_SIZE:
+            raise RequestLimitError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
     def _wait_for_queue(self) -> None:
         """Wait until a request can be queued. Raises `ConnectionResetError` if the client closes."""
         if len(self.waiting) < MAX_PIPELINED:
@@ -257,20 +268,13 @@
         self._start_request()
 
     def on_url(self, url: bytes) -> None:
-        """Append a part of the request target. Raises `RequestLimitError`."""
+        """Append a part of the request target."""
         self.url += url
-        self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header field. Raises `RequestLimitError`."""
-        self._count_head(len(name) + len(value))
+        """Store one header field."""
         self.request.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
-    def _count_head(self, size: int) -> None:
-        self.head_size += size
-        if self.head_size > MAX_HEAD_SIZE:
-            raise RequestLimitError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
     def on_headers_complete(self) -> None:
         """Check the declared length and answer `Expect`. Raises `RequestLimitError`, `ValueError`."""
         headers = self.request.headers
@@ -283,6 +287,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body. Raises `RequestLimitError`."""
         self.body_size += len(body)
+        self.head_size = 0
         if self.body_size > self.server.max_body_size:
             raise RequestLimitError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         if self.request.rejection is None and REQUEST_BODIES.reserve_for(self, len(body)):
@@ -292,7 +297,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
-        self.request_began_at, self.has_requested = 0, True
+        self.request_began_at, self.has_requested, self.head_size = 0, True, 0
         request, target = self.request, urlsplit(self.url.decode("latin-1"))
         request.method, request.version = self.parser.get_method().decode(), self.parser.get_http_version()
         request.keep_alive, request.body = self.parser.should_keep_alive(), b"".join(self.body_parts)
--- a/tests/net/clickhouse/test_clickhouse_memory_limits.py
+++ b/tests/net/clickhouse/test_clickhouse_memory_limits.py
@@ -33,3 +33,10 @@
         assert received.startswith(b"HTTP/1.1 503 ")
         assert b"Retry-After: 1\r\n" in received
         assert received.endswith(b"Ok.\n")
+
+    def test_a_header_field_without_an_end_is_rejected_early(self):
+        """Regression: a field that never ended was held whole until the request timed out."""
+        self.start_service(self.engine(kind=FakeClickHouseEngine))
+        with socket.create_connection(("127.0.0.1", self.port), WAIT) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\nX: " + b"x" * 200_000)
+            assert sock.recv(4096).startswith(b"HTTP/1.1 431 ")
