ClickHouse engines: buffered results share a limit, and the largest gives way

Cause: MAX_RESULT_SIZE was the only limit, and parts of any size were kept in a list.

Change: BUFFERED_RESULTS, an eighth of the spare memory, in the rule of the other budgets: the largest result is dropped and its attempt ends as a broken connection, so that the decisions repeat it or not by their rules. Rows are kept in one bytearray.

Measured: twelve endless answers at a limit of 30 MB.

--- a/cypressledge/net/clickhouse/engine_exchange.py
+++ b/cypressledge/net/clickhouse/engine_exchange.py
@@ -31,7 +31,7 @@
         self.transport, self.attempt, self.core = transport, attempt, transport.core
         self.sock: socket.socket | None = None
         self.cancelled = self.sent = False
-        self.response = EngineResponse(transport.core, attempt)
+        self.response = EngineResponse(transport.core, attempt, self._shut_socket)
 
     def run(self) -> None:
         """Send the statement, read the response, and report the outcome exactly once unless cancelled."""
@@ -46,8 +46,9 @@
                 self.transport.keep_idle(self.attempt.endpoint, self.sock)
             else:
                 self.transport.close(self.sock)
+        rows = bytes(self.response.buffered) if result.outcome is Outcome.OK else b""
+        self.response.close()
         if not self.cancelled:
-            rows = b"".join(self.response.buffered_parts) if result.outcome is Outcome.OK else b""
             self.core.ledger.attempt_ended(self.attempt, result.outcome, rows, result.fault)
 
     def _broken_outcome(self) -> Outcome:
@@ -61,13 +62,17 @@
         if self.cancelled:
             return
         self.cancelled = True
-        if self.sock is not None:
-            with contextlib.suppress(OSError):
-                self.sock.shutdown(socket.SHUT_RDWR)
+        self._shut_socket()
         is_running = self.sent and not self.response.is_complete
         if is_running and WRITE_STATEMENT.match(self.attempt.query.statement.decode("latin-1")):
             spawn(self._kill)
 
+    def _shut_socket(self) -> None:
+        """Shut the connection down, which ends a read on it and the work of the engine."""
+        if self.sock is not None:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+
     def _kill(self) -> None:
         query = f"KILL QUERY WHERE query_id = '{quote(self.attempt.query.id)}' ASYNC"
         try:
--- a/cypressledge/net/clickhouse/engine_response.py
+++ b/cypressledge/net/clickhouse/engine_response.py
@@ -1,6 +1,7 @@
 """An engine's HTTP response, parsed by httptools: status, exception, progress and rows."""
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
@@ -8,8 +9,11 @@
 from cypressledge.broker.core import BrokerCore
 from cypressledge.broker.requests import DEADLINE_FAULT, Attempt, EngineFault
 from cypressledge.decisions.contract import Outcome, ProgressKind
+from cypressledge.net.byte_budget import ByteBudget
 
 MAX_RESULT_SIZE = 8 << 20  # bytes; maximum size of a result that is buffered, not streamed
+# Bytes of all results that are buffered; default until the configuration is known.
+BUFFERED_RESULTS = ByteBudget(8 << 20)
 MAX_ERROR_SIZE = 16 << 10  # bytes; longer error texts are cut off
 NEVER_EXECUTED_CODES = frozenset((0, 202, 439))  # exception codes; with HTTP 503, nothing was executed
 FINAL_STATUSES = frozenset((400, 404, 413, 501))  # HTTP; the statement is invalid, so no engine can run it
@@ -30,13 +34,16 @@
     copy behind it. Neither becomes a part of the answer.
     """
 
-    def __init__(self, core: BrokerCore, attempt: Attempt) -> None:
+    def __init__(self, core: BrokerCore, attempt: Attempt, on_give_up: Callable[[], None]) -> None:
+        """`on_give_up` must end the exchange; it is called when other results need the memory of this one."""
         self.core, self.attempt = core, attempt
+        self._on_give_up = on_give_up
+        self._held_bytes = 0  # reserved from `BUFFERED_RESULTS`
+        self._is_dropped = False  # the rows were dropped before the response was complete
         self.status = 0  # HTTP status; 0 until it is received
         self.exception_code = 0
         self.exception_tag = b""  # marks the beginning of an exception in the middle of the rows
-        self.buffered_parts: list[bytes] = []  # rows that are not streamed, or an error text
-        self.buffered_size = 0
+        self.buffered = bytearray()  # rows that are not streamed, or an error text
         self.unscanned = b""  # the last bytes received, which may be the beginning of a tag
         self.is_complete = False
         self._is_foreign = False  # the response that is being parsed belongs to another query
@@ -44,7 +51,11 @@
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, received: bytes) -> None:
-        """Parse received bytes. Raises `httptools.HttpParserError` unless the response is complete."""
+        """Parse received bytes. Raises `httptools.HttpParserError` unless the response is complete.
+
+        Raises `ValueError` if the rows before them were dropped: the socket may still hold received bytes."""
+        if self._is_dropped:
+            raise ValueError("buffered results together hold too much")
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError:
@@ -52,6 +63,25 @@
                 raise
             self._has_surplus = True
 
+    @property
+    def held_bytes(self) -> int:
+        """See `BudgetHolder`: the bytes of rows that are buffered."""
+        return self._held_bytes
+
+    def give_up_bytes(self) -> None:
+        """See `BudgetHolder`: drop the rows, and end the exchange, whose result is no longer complete."""
+        self.core.counters.add("clickhouse.results_dropped")
+        self._is_dropped = True
+        self.close()
+        self._on_give_up()
+
+    def close(self) -> None:
+        """Drop the buffered rows, and return their bytes to the budget."""
+        self.buffered.clear()
+        BUFFERED_RESULTS.release(self._held_bytes)
+        self._held_bytes = 0
+        BUFFERED_RESULTS.holders.discard(self)
+
     def allows_reuse(self) -> bool:
         """Return whether the connection may be used for a further exchange."""
         return self.is_complete and not self._has_surplus and self._parser.should_keep_alive()
@@ -60,10 +90,7 @@
         """Return the outcome of the attempt after a complete response."""
         if self.status == 200 and not self.exception_code:
             return EngineResult(Outcome.OK)
-        text = (
-            b"".join(self.buffered_parts).decode("utf-8", "replace").strip()
-            or f"engine answered {self.status}"
-        )
+        text = self.buffered.decode("utf-8", "replace").strip() or f"engine answered {self.status}"
         fault = EngineFault(text, self.exception_code, self.status if self.status >= 400 else 500)
         if self.status == 503 and self.exception_code in NEVER_EXECUTED_CODES:
             return EngineResult(Outcome.REJECTED, fault)
@@ -115,9 +142,7 @@
         if self.is_complete or self._is_foreign:
             return
         if self.status != 200 or self.exception_code:
-            if self.buffered_size < MAX_ERROR_SIZE:
-                self.buffered_parts.append(body[: MAX_ERROR_SIZE - self.buffered_size])
-                self.buffered_size += len(body)
+            self.buffered += body[: MAX_ERROR_SIZE - len(self.buffered)]
         elif self.exception_tag:
             self._scan_for_exception(body)
         else:
@@ -140,10 +165,13 @@
         if self.attempt.request.reply.supports_streaming:
             self.core.ledger.rows_received(self.attempt, rows)
             return
-        self.buffered_size += len(rows)
-        if self.buffered_size > MAX_RESULT_SIZE:
+        if len(self.buffered) + len(rows) > MAX_RESULT_SIZE:
             raise ValueError(f"result that cannot be streamed exceeds {MAX_RESULT_SIZE} bytes")
-        self.buffered_parts.append(rows)
+        if not BUFFERED_RESULTS.reserve_for(self, len(rows)):
+            raise ValueError("buffered results together hold too much")
+        self._held_bytes += len(rows)
+        BUFFERED_RESULTS.holders.add(self)
+        self.buffered += rows
 
     def on_message_complete(self) -> None:
         """Mark the response as complete at the HTTP level, and pass on the last rows."""
--- a/tests/net/clickhouse/test_clickhouse_memory_limits.py
+++ b/tests/net/clickhouse/test_clickhouse_memory_limits.py
@@ -1,14 +1,26 @@
 """ClickHouse interface: what some clients or engines send does not use up the memory of the others."""
 
+import re
 import socket
+from pathlib import Path
 
 from tests.fakes.fake_clickhouse_engine import FakeClickHouseEngine
+from tests.fakes.fake_engines import ROW
 from tests.fakes.support import WAIT
 from tests.net.clickhouse.clickhouse_test_case import LOGIN, ClickHouseTestCase
 from tests.race_conditions.scenarios import limits
 
 HEADERS = b"".join(f"{name}: {value}\r\n".encode() for name, value in LOGIN.items())
 SMALL_MEMORY = {"memory_mb": 30}  # 4 MB of spare memory, of which bodies and results may use 1/8 each
+ENDLESS_ANSWERS = 12
+MAX_GROWTH = 12 << 20  # bytes; what the spare memory, and the answers in Python's own forms, can take
+PART = b"0123456789\tx\ty\n" * 4096
+
+
+def peak_memory(pid):
+    """Return the largest resident memory of a process so far, in bytes."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s*(\d+) kB", status)[1]) << 10
 
 
 class MemoryLimits(ClickHouseTestCase):
@@ -40,3 +52,27 @@
         with socket.create_connection(("127.0.0.1", self.port), WAIT) as sock:
             sock.sendall(b"GET / HTTP/1.1\r\nX: " + b"x" * 200_000)
             assert sock.recv(4096).startswith(b"HTTP/1.1 431 ")
+
+    def test_endless_answers_that_are_buffered_take_a_limited_part_of_the_memory(self):
+        """Regression: each answer to a client that takes no stream could take 8 MB, with no limit for all."""
+
+        def answer_without_end(engine, send, params, statement):
+            if b"sound" in statement:
+                send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(ROW), ROW))
+                return
+            send(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n")
+            for _ in range(100):
+                send(PART)
+            engine.closed.wait(WAIT)
+
+        engine = self.engine(answer_without_end, kind=FakeClickHouseEngine)
+        broker = self.start_service(engine, change=limits(**SMALL_MEMORY))
+        self.addCleanup(engine.closed.set)
+        assert self.query(b"SELECT sound")[0] == 200
+        before = peak_memory(broker.process.pid)
+        client = self.client(broker)
+        for _ in range(ENDLESS_ANSWERS):
+            client.ask("report", wait=4000)
+        assert all("error" in client.get() for _ in range(ENDLESS_ANSWERS))
+        assert peak_memory(broker.process.pid) - before < MAX_GROWTH
+        assert self.query(b"SELECT sound")[0] == 200
