Both fronts: an exception while one request is handled costs no other its answer

What callers saw: a statement with a table number of 5,000 digits ended its JSON-RPC connection with all calls that were open on it; over HTTP, neither it nor what came behind it was answered.

Cause: nothing caught an exception of the handling, so it ended the connection's greenlet, or the event loop's callback where the request had waited in a pipeline.

Change: it is logged and counted, and the request is answered with an error.

Measured: both new tests failed on (end of the connection; no answer) and pass.

--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server, parsed by httptools: one exchange at a time on each connection."""
 
 import json
+import traceback
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -10,7 +11,7 @@
 import httptools
 from gevent import sleep, socket, spawn_later
 
-from cypressledge.broker.metrics import Counters
+from cypressledge.broker.metrics import Counters, log
 from cypressledge.clock import monotonic_us
 from cypressledge.net.byte_budget import ByteBudget
 from cypressledge.net.connection_registry import ConnectionRegistry, EvictionPriority, eviction_priority
@@ -314,11 +315,22 @@
         self.current = HttpExchange(self, request)
         self._release(len(request.body))
         if request.rejection is None:
-            self.server.handle(request, self.current)
+            self._handle(request, self.current)
         else:
             headers = RETRY_AFTER if request.rejection is HTTPStatus.SERVICE_UNAVAILABLE else {}
             self.current.answer(request.rejection, headers, request.rejection.phrase.encode() + b"\n")
 
+    def _handle(self, request: HttpRequest, exchange: "HttpExchange") -> None:
+        try:
+            self.server.handle(request, exchange)
+        except Exception:  # whatever a handler raises, the request must be answered
+            self.server.counters.add(f"{self.server.name}.handler_errors")
+            log(f"{self.server.name}: a request failed:\n{traceback.format_exc()}")
+            if exchange.has_begun:
+                exchange.abort()
+            else:
+                exchange.answer(HTTPStatus.INTERNAL_SERVER_ERROR, {}, b"internal error\n")
+
     def finish_exchange(self, keep_alive: bool) -> None:
         """End the current exchange, answered completely or not, and handle the next request or close."""
         self.current = None
--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -2,12 +2,14 @@
 
 import errno
 import json
+import traceback
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
 from gevent import socket
 
 from cypressledge.broker.event_log import EventKind
+from cypressledge.broker.metrics import log
 from cypressledge.broker.requests import Query
 from cypressledge.clock import monotonic_us
 from cypressledge.net.connection_registry import EvictionPriority, eviction_priority
@@ -269,6 +271,12 @@
             self.error_count += 1
             self.counters.add(f"rpc_error.{-err.code}")
             self.send_error(call_id, err.code, str(err))
+        except Exception:  # whatever a message contains, it must not end the connection's other calls
+            self.error_count += 1
+            self.counters.add("clients.message_errors")
+            log(f"clients: a message failed:\n{traceback.format_exc()}")
+            if call_id not in self.open_calls:
+                self.send_error(call_id, ErrorCode.INTERNAL_ERROR, "internal error")
 
     def _method_and_id(self, message: object) -> tuple[str, Any]:
         """Return the method and the id, which must be a new one unless the method is `withdraw`."""
--- a/cypressledge/net/jsonrpc/errors.py
+++ b/cypressledge/net/jsonrpc/errors.py
@@ -10,6 +10,7 @@
     INVALID_REQUEST = -32600
     METHOD_NOT_FOUND = -32601
     INVALID_PARAMS = -32602
+    INTERNAL_ERROR = -32603
     FAILED = -32000  # defined by the platform: the request may have been executed
     REJECTED = -32066  # defined by the platform: not executed, may safely be repeated
 
--- a/tests/net/clickhouse/test_clickhouse_pipelines.py
+++ b/tests/net/clickhouse/test_clickhouse_pipelines.py
@@ -96,6 +96,13 @@
         assert self.answers(2) == [(200, "q0"), (408, None)]
         assert self.file.read() == b""
 
+    def test_a_request_whose_handling_fails_is_answered_and_costs_no_other(self):
+        """Regression: an exception while one request was handled left it, and those behind it, unanswered."""
+        failing = b"SELECT a FROM sales_" + b"1" * 5000 + b".orders"
+        self.sock.sendall(request("q0", b"SELECT slow") + request("q1", failing) + request("q2"))
+        self.release()
+        assert self.answers(3) == [(200, "q0"), (500, None), (200, "q2")]
+
     def test_a_request_for_an_upgrade_is_answered_once(self):
         """Regression: it was answered with an error, although its sender works without the upgrade."""
         upgrade = b"Connection: Upgrade\r\nUpgrade: h2c\r\n"
--- a/tests/net/jsonrpc/test_jsonrpc_framing.py
+++ b/tests/net/jsonrpc/test_jsonrpc_framing.py
@@ -3,7 +3,7 @@
 import json
 
 from tests.fakes.broker_process import BrokerTestCase
-from tests.fakes.fake_engines import ROW
+from tests.fakes.fake_engines import ROW, answer_on_release
 from tests.fakes.json_rpc_client import result_rows
 
 
@@ -60,3 +60,16 @@
                 client.raw(b"", head)
                 assert client.get()["error"]["code"] == -32600
                 assert client.get() is None
+
+    def test_a_message_whose_handling_fails_is_answered_and_costs_no_other_call(self):
+        """Regression: an exception while one message was handled ended the connection over its open calls."""
+        engine = self.engine(answer_on_release)
+        engine.released = False
+        client = self.client(self.broker(engine))
+        running = client.ask("report", wait=20_000)
+        failing = client.ask(statement=b"SELECT a FROM sales_" + b"1" * 5000 + b".orders")
+        answer = client.get()
+        assert (answer["id"], answer["error"]["code"]) == (failing, -32603)
+        engine.released = True
+        answer = client.get()
+        assert (answer["id"], result_rows(answer)) == (running, ROW)
