JSON-RPC: a message written slowly while a call is open is answered

What callers saw: a message that took over two seconds was dropped with an error under the id null, also where its last byte came while the connection was still open for the answer to another call.

Cause: the time limit of messages ended the input at once, though the connection stays open for its calls.

Change: while a call is open, a message may take longer. What it holds is under the budget of the receive buffers. Without an open call the limit is as before.

The collection of messages to be written in one go is one method of the tests' client now.

--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -38,7 +38,7 @@
 STATEMENT_BYTES_DIVISOR = 4  # one connection may use 1/4 of the limit on all clients' statement bytes
 SEND_QUEUE_LIMIT = 4 << 20  # bytes of answers that a client may leave unread
 SEND_TIMEOUT = 30.0  # seconds; maximum duration of one send
-MESSAGE_TIMEOUT = 2.0  # seconds from the first byte of a message to its last
+MESSAGE_TIMEOUT = 2.0  # seconds from the first byte of a message to its last, unless a call is open
 DRAIN_CHECK_INTERVAL = 0.05  # seconds between checks of a draining connection that cannot be closed yet
 IDLE_TIMEOUT = 10.0  # seconds without an open call until a connection is closed; most clients close after 4
 MAX_ERRORS = 16  # error answers per connection, after which it is drained
@@ -162,9 +162,7 @@
         if self.shutdown_at:
             return remaining_seconds(self.shutdown_at, LINGER_TIMEOUT)
         if self.message_began_at:
-            if monotonic_us() > self.message_began_at + MESSAGE_TIMEOUT * 1e6:
-                raise FramingError("message not whole in time")
-            return remaining_seconds(self.message_began_at, MESSAGE_TIMEOUT)
+            return self._message_timeout()
         if self.open_calls:
             return IDLE_TIMEOUT
         if self.draining:
@@ -176,6 +174,17 @@
             return remaining_seconds(self.last_active_at, IDLE_TIMEOUT)
         return remaining_seconds(self.connected_at, FIRST_MESSAGE_TIMEOUT)
 
+    def _message_timeout(self) -> float:
+        """Return the seconds to wait for the rest of a message. Raises `FramingError` if it is overdue.
+
+        While calls are open, the connection stays open for their answers anyway. A client that writes slowly
+        may complete its message meanwhile, and must then be answered."""
+        if monotonic_us() <= self.message_began_at + MESSAGE_TIMEOUT * 1e6:
+            return remaining_seconds(self.message_began_at, MESSAGE_TIMEOUT)
+        if not self.open_calls:
+            raise FramingError("message not whole in time")
+        return MESSAGE_TIMEOUT
+
     def _mark_active(self) -> None:
         self.last_active_at = monotonic_us()
         self.frontend.connections.mark_active(self)
--- a/tests/fakes/json_rpc_client.py
+++ b/tests/fakes/json_rpc_client.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import socket
+from types import SimpleNamespace
 
 from tests.fakes.support import WAIT, close_connection
 
@@ -48,6 +49,16 @@
             | more,
         )
 
+    def capture(self, write):
+        """Return the bytes that `write()` sends, and its result, without sending them."""
+        written, real_socket = [], self.sock
+        self.sock = SimpleNamespace(sendall=written.append)
+        try:
+            result = write()
+        finally:
+            self.sock = real_socket
+        return b"".join(written), result
+
     def get(self):
         head = b""
         while not head.endswith(b"\r\n\r\n"):
