--- a/cypressledge/net/clickhouse/engine_response.py
+++ b/cypressledge/net/clickhouse/engine_response.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import httptools
 
@@ -46,7 +47,7 @@
         self.buffered = bytearray()  # rows that are not streamed, or an error text
         self.unscanned = b""  # the last bytes received, which may be the beginning of a tag
         self.is_complete = False
-        self._is_foreign = False  # the response that is being parsed belongs to another query
+        self._is_foreign = False  # the response that is being parsed names another query
         self._has_surplus = False  # something followed the complete response
         self._parser = httptools.HttpResponseParser(self)
 
@@ -180,6 +181,8 @@
         if self._is_foreign:
             self.core.counters.add("clickhouse.foreign_responses")
             return
+        if self.status < HTTPStatus.OK:  # an interim response, which the final one follows
+            return
         if self.unscanned:
             self._handle_rows(self.unscanned)
         self.is_complete = True
--- a/tests/net/clickhouse/test_clickhouse_surplus_answers.py
+++ b/tests/net/clickhouse/test_clickhouse_surplus_answers.py
@@ -70,6 +70,15 @@
 
         self.check_answers(answer_another_first)
 
+    def test_an_interim_response_in_front_is_not_the_answer(self):
+        def answer_with_early_hints(engine, send, params, statement):
+            send(
+                b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                + response(params["query_id"], rows_of(statement))
+            )
+
+        self.check_answers(answer_with_early_hints)
+
     def test_only_an_answer_to_another_query_is_no_answer(self):
         def answer_another(engine, send, params, statement):
             send(response("0123456789abcdef", FOREIGN_ROWS))
