--- a/cypressledge/controlplane/change_proposals.py
+++ b/cypressledge/controlplane/change_proposals.py
@@ -29,7 +29,7 @@
 from cypressledge.controlplane.state import FleetState
 from cypressledge.controlplane.state_validation import find_conflicts, validate_change
 from cypressledge.controlplane.state_values import CONFIG_PREFIX, StateError, decode_value
-from cypressledge.net.http_server import HttpExchange
+from cypressledge.net.http_exchange import HttpExchange
 
 MAJORITY_TIMEOUT_US = 5_000_000  # µs; maximum time for a majority to store a change
 CLASSES_KEY = CONFIG_PREFIX + "Classes"
--- a/cypressledge/controlplane/operator_api.py
+++ b/cypressledge/controlplane/operator_api.py
@@ -25,7 +25,7 @@
 from cypressledge.controlplane.publisher import Publisher
 from cypressledge.controlplane.state_values import BROKER_PREFIX, decode_value
 from cypressledge.controlplane.traffic_counters import TrafficCounters
-from cypressledge.net.http_server import HttpRequest
+from cypressledge.net.http_exchange import HttpRequest
 
 MAX_CHANGES_SHOWN = 500  # changes in one answer of `/control/history`
 
--- a/cypressledge/controlplane/operator_calls.py
+++ b/cypressledge/controlplane/operator_calls.py
@@ -13,7 +13,8 @@
 from cypressledge.controlplane.messages import Op
 from cypressledge.controlplane.operator_messages import Answer, RejectedAnswer
 from cypressledge.controlplane.state_values import StateError, encode_value
-from cypressledge.net.http_server import HttpExchange, HttpRequest, HttpServer
+from cypressledge.net.http_exchange import HttpExchange, HttpRequest
+from cypressledge.net.http_server import HttpServer
 
 CHANGE_PATH = "/control/change"
 MAX_BODY_BYTES = 2 << 20  # bytes; a change in JSON
--- a/cypressledge/fleet/operator_api.py
+++ b/cypressledge/fleet/operator_api.py
@@ -8,7 +8,7 @@
 
 from cypressledge.fleet.operator_answers import Body, LeaseRow, PeerRow, RestartTurn, TaskRow, to_body
 from cypressledge.fleet.zones.operator_api import Answer, ZoneOperatorApi
-from cypressledge.net.http_server import HttpRequest
+from cypressledge.net.http_exchange import HttpRequest
 from cypressledge.net.management import ManagementServer
 
 if TYPE_CHECKING:
--- a/cypressledge/fleet/zones/operator_api.py
+++ b/cypressledge/fleet/zones/operator_api.py
@@ -10,7 +10,7 @@
 from cypressledge.fleet.settings import ZoneCommandRequest
 from cypressledge.fleet.zones.events import BrokerEvent
 from cypressledge.fleet.zones.failover import ZoneFailover
-from cypressledge.net.http_server import HttpRequest
+from cypressledge.net.http_exchange import HttpRequest
 from cypressledge.net.management import ManagementServer
 
 Answer = tuple[int, bytes]  # HTTP status and body
--- a/cypressledge/net/admin_api.py
+++ b/cypressledge/net/admin_api.py
@@ -7,7 +7,8 @@
 from cypressledge.broker.core import BrokerCore
 from cypressledge.broker.metrics import log
 from cypressledge.decisions.contract import EngineState
-from cypressledge.net.http_server import HttpExchange, HttpRequest, HttpServer
+from cypressledge.net.http_exchange import HttpExchange, HttpRequest
+from cypressledge.net.http_server import HttpServer
 from cypressledge.net.socket_io import Address
 from cypressledge.tenants import TenantError, Tenants
 
--- a/cypressledge/net/clickhouse/authentication.py
+++ b/cypressledge/net/clickhouse/authentication.py
@@ -4,7 +4,7 @@
 import binascii
 
 from cypressledge.net.clickhouse.errors import ClickHouseError, ErrorCode
-from cypressledge.net.http_server import HttpRequest
+from cypressledge.net.http_exchange import HttpRequest
 from cypressledge.tenants import Tenant, Tenants
 
 MAX_NAME_IN_ERROR = 64  # characters; longer names are cut off in error messages
--- a/cypressledge/net/clickhouse/errors.py
+++ b/cypressledge/net/clickhouse/errors.py
@@ -2,7 +2,7 @@
 
 from enum import IntEnum
 
-from cypressledge.net.http_server import HttpExchange
+from cypressledge.net.http_exchange import HttpExchange
 
 
 class ErrorCode(IntEnum):
--- a/cypressledge/net/clickhouse/frontend.py
+++ b/cypressledge/net/clickhouse/frontend.py
@@ -5,7 +5,8 @@
 from cypressledge.net.clickhouse.errors import ClickHouseError, ErrorCode, answer_error
 from cypressledge.net.clickhouse.query_parser import QueryParser
 from cypressledge.net.clickhouse.reply import ClickHouseReply
-from cypressledge.net.http_server import HttpExchange, HttpRequest, HttpServer
+from cypressledge.net.http_exchange import HttpExchange, HttpRequest
+from cypressledge.net.http_server import HttpServer
 from cypressledge.net.socket_io import Address
 from cypressledge.tenants import Tenants
 
--- a/cypressledge/net/clickhouse/query_parser.py
+++ b/cypressledge/net/clickhouse/query_parser.py
@@ -10,7 +10,7 @@
 from cypressledge.decisions.contract import Idempotency
 from cypressledge.net.clickhouse.errors import ClickHouseError, ErrorCode
 from cypressledge.net.clickhouse.statements import FORMAT_CLAUSE, SUPPORTED_FORMATS, WRITE_STATEMENT
-from cypressledge.net.http_server import HttpRequest
+from cypressledge.net.http_exchange import HttpRequest
 from cypressledge.sql import table_group
 
 QUERY_ID = re.compile(r"[!-~]{1,128}\Z", re.A)
--- a/cypressledge/net/clickhouse/reply.py
+++ b/cypressledge/net/clickhouse/reply.py
@@ -5,7 +5,7 @@
 
 from cypressledge.broker.requests import EngineFault, Query, Request
 from cypressledge.net.clickhouse.errors import ErrorCode, answer_error
-from cypressledge.net.http_server import HttpExchange
+from cypressledge.net.http_exchange import HttpExchange
 from cypressledge.tenants import Tenant
 
 if TYPE_CHECKING:
--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -1,10 +1,8 @@
 """HTTP/1.1 server, parsed by httptools: one exchange at a time on each connection."""
 
-import json
 import traceback
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from http import HTTPStatus
 from urllib.parse import parse_qsl, unquote, urlsplit
 
@@ -15,6 +13,7 @@
 from cypressledge.clock import monotonic_us
 from cypressledge.net.byte_budget import ByteBudget
 from cypressledge.net.connection_registry import ConnectionRegistry, EvictionPriority, eviction_priority
+from cypressledge.net.http_exchange import HttpExchange, HttpRequest
 from cypressledge.net.listener import Listener
 from cypressledge.net.receive_buffer import ReceiveBuffer
 from cypressledge.net.socket_io import (
@@ -55,21 +54,6 @@
         self.status = status
 
 
-@dataclass(slots=True)
-class HttpRequest:
-    """One HTTP request, filled in as it is parsed."""
-
-    method: str = ""
-    path: str = ""
-    params: dict[str, str] = field(default_factory=dict)
-    headers: dict[str, str] = field(default_factory=dict)  # by lower-case name
-    body: bytes = b""
-    version: str = "1.1"
-    keep_alive: bool = True
-    has_length: bool = False  # it has a Content-Length or Transfer-Encoding header
-    rejection: HTTPStatus | None = None  # answered with this status, and not handled
-
-
 class HttpServer:
     """HTTP server that passes each complete request to `handle(request, exchange)`, which must not block."""
 
@@ -79,7 +63,7 @@
         counters: Counters,
         name: str,
         max_body_size: int,
-        handle: Callable[[HttpRequest, "HttpExchange"], None],
+        handle: Callable[[HttpRequest, HttpExchange], None],
     ) -> None:
         """`name` identifies the server in counters; `max_body_size` is in bytes."""
         self.handle, self.max_body_size, self.counters, self.name = handle, max_body_size, counters, name
@@ -320,7 +304,7 @@
             headers = RETRY_AFTER if request.rejection is HTTPStatus.SERVICE_UNAVAILABLE else {}
             self.current.answer(request.rejection, headers, request.rejection.phrase.encode() + b"\n")
 
-    def _handle(self, request: HttpRequest, exchange: "HttpExchange") -> None:
+    def _handle(self, request: HttpRequest, exchange: HttpExchange) -> None:
         try:
             self.server.handle(request, exchange)
         except Exception:  # whatever a handler raises, the request must be answered
@@ -339,64 +323,3 @@
             self._handle_next()
         elif not self.closing:
             self._shut_down()
-
-
-class HttpExchange:
-    """The answer to one request: complete by `answer`, or in chunks from `begin` to `finish` or `abort`."""
-
-    def __init__(self, connection: HttpConnection, request: HttpRequest) -> None:
-        self.connection, self.request = connection, request
-        self.on_disconnect: Callable[[], None] | None = None
-        self.has_begun = self.is_finished = False
-        self.supports_chunks = request.version != "1.0"
-
-    def answer(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        """Send a complete answer."""
-        if not self.is_finished and not self.has_begun:
-            self._write_head(status, headers | {"Content-Length": str(len(body))})
-            self.connection.writer.write(body)
-            self._finish(self.request.keep_alive)
-
-    def json(self, status: int, value: object) -> None:
-        """Send a complete answer as JSON; None sends an empty body."""
-        body = json.dumps(value).encode() + b"\n" if value is not None else b""
-        self.answer(status, {"Content-Type": "application/json"}, body)
-
-    def begin(self, headers: dict[str, str]) -> None:
-        """Send the head of a chunked answer; not for HTTP/1.0, where a truncated one is not recognisable."""
-        self.has_begun = True
-        self._write_head(200, headers | {"Transfer-Encoding": "chunked"})
-
-    def chunk(self, data: bytes) -> None:
-        """Send the next bytes of a chunked answer."""
-        if data and not self.is_finished:
-            self.connection.writer.write(b"%x\r\n" % len(data), data, b"\r\n")
-
-    def finish(self) -> None:
-        """End a chunked answer, after all its chunks have been written."""
-        if not self.is_finished:
-            self.connection.writer.write(b"0\r\n\r\n")
-            self._finish(self.request.keep_alive)
-
-    def abort(self) -> None:
-        """Close the connection without the last chunk, so that the client recognises a truncated answer."""
-        if not self.is_finished:
-            self._finish(False)
-
-    def handle_disconnect(self) -> None:
-        """Abandon the exchange after the client has closed its connection."""
-        if not self.is_finished:
-            self.is_finished = True
-            if self.on_disconnect is not None:
-                self.on_disconnect()
-
-    def _write_head(self, status: int, headers: dict[str, str]) -> None:
-        if not self.request.keep_alive:
-            headers = headers | {"Connection": "close"}
-        status_line = f"HTTP/1.1 {int(status)} {HTTPStatus(status).phrase}"
-        lines = [status_line, *(f"{name}: {value}" for name, value in headers.items())]
-        self.connection.writer.write("\r\n".join(lines).encode("latin-1"), b"\r\n\r\n")
-
-    def _finish(self, keep_alive: bool) -> None:
-        self.is_finished = True
-        self.connection.finish_exchange(keep_alive)
--- a/cypressledge/net/maintenance_file.py
+++ b/cypressledge/net/maintenance_file.py
@@ -14,7 +14,7 @@
 from cypressledge.broker.maintenance import Maintenance, MaintenanceError
 from cypressledge.broker.metrics import log
 from cypressledge.clock import monotonic_us
-from cypressledge.net.http_server import HttpRequest
+from cypressledge.net.http_exchange import HttpRequest
 from cypressledge.net.management import Answer
 
 LOCK_ATTEMPTS = 100
--- a/cypressledge/net/management.py
+++ b/cypressledge/net/management.py
@@ -11,7 +11,8 @@
 from cypressledge.broker.metrics import Counters
 from cypressledge.config import Limits
 from cypressledge.decisions.contract import EngineState
-from cypressledge.net.http_server import HttpExchange, HttpRequest, HttpServer
+from cypressledge.net.http_exchange import HttpExchange, HttpRequest
+from cypressledge.net.http_server import HttpServer
 from cypressledge.net.socket_io import Address
 
 METRIC_PREFIX = "svc"
--- a/tests/net/test_maintenance_file.py
+++ b/tests/net/test_maintenance_file.py
@@ -7,7 +7,7 @@
 
 from cypressledge.broker.maintenance import Maintenance
 from cypressledge.broker.metrics import Counters
-from cypressledge.net.http_server import HttpRequest
+from cypressledge.net.http_exchange import HttpRequest
 from cypressledge.net.maintenance_file import MaintenanceFile
 
 ENGINES = ("s-1", "s-2")
