--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -222,7 +222,7 @@
         is_incomplete = self.request_began_at != 0
         for request in (*self.waiting, *([self.request] if is_incomplete else [])):
             request.rejection, request.body = HTTPStatus.SERVICE_UNAVAILABLE, b""
-        self.body_parts.clear()
+        self.body.clear()
         self._release(self._held_bytes)
 
     def _release(self, size: int) -> None:
@@ -244,7 +244,7 @@
 
     def _start_request(self) -> None:
         self.request, self.url = HttpRequest(), b""
-        self.body_parts: list[bytes] = []
+        self.body = bytearray()  # not a list of parts: a part may be a single byte
         self.body_size = self.head_size = 0
 
     def on_message_begin(self) -> None:
@@ -278,14 +278,14 @@
         if self.request.rejection is None and REQUEST_BODIES.reserve_for(self, len(body)):
             self._held_bytes += len(body)
             REQUEST_BODIES.holders.add(self)
-            self.body_parts.append(body)
+            self.body += body
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         self.request_began_at, self.has_requested, self.head_size = 0, True, 0
         request, target = self.request, urlsplit(self.url.decode("latin-1"))
         request.method, request.version = self.parser.get_method().decode(), self.parser.get_http_version()
-        request.keep_alive, request.body = self.parser.should_keep_alive(), b"".join(self.body_parts)
+        request.keep_alive, request.body = self.parser.should_keep_alive(), bytes(self.body)
         request.path = unquote(target.path)
         request.params = dict(parse_qsl(target.query, keep_blank_values=True))
         self.waiting.append(request)
