--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -144,9 +144,8 @@
             self._process_message(frame)
             if self.error_count > MAX_ERRORS_WHILE_DRAINING:
                 raise FramingError("too many errors")
-        self.draining |= (
-            self.error_count > MAX_ERRORS
-        )  # what the client has already written is still answered
+        if self.error_count > MAX_ERRORS:
+            self.draining = True  # what the client has already written is still answered
         self.has_requested |= any_complete
         self._mark_active()
         if not self.reader.has_incomplete_message():
