JSON-RPC: a message over 512 KB is answered under its own id

What callers saw: an error under the id null, and what was written behind the message dropped, although its calls were complete.

Cause: a body over the size that is stored was taken for invalid framing.

--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -14,7 +14,7 @@
 from cypressledge.clock import monotonic_us
 from cypressledge.net.connection_registry import EvictionPriority, eviction_priority
 from cypressledge.net.jsonrpc.errors import ErrorCode, FramingError, JsonRpcError
-from cypressledge.net.jsonrpc.framing import Frame, FrameReader
+from cypressledge.net.jsonrpc.framing import Frame, FrameReader, SkipReason
 from cypressledge.net.jsonrpc.pending_call import PendingCall
 from cypressledge.net.jsonrpc.request_ids import UsedRequestIds
 from cypressledge.net.receive_buffer import BufferLimitError
@@ -271,8 +271,8 @@
             except (ValueError, RecursionError):
                 raise JsonRpcError(ErrorCode.PARSE_ERROR, "not JSON") from None
             method, call_id = self._method_and_id(message)
-            if frame.is_outline and method in self.frontend.query_parser.classes:
-                self._reject_skipped(method, call_id, message.get("params"))
+            if frame.skip_reason is not None and method in self.frontend.query_parser.classes:
+                self._reject_skipped(frame.skip_reason, method, call_id, message.get("params"))
             else:
                 self._dispatch(method, call_id, message.get("params"))
         except JsonRpcError as err:
@@ -326,8 +326,10 @@
         else:
             call.request = self.core.ledger.submit(query, call)
 
-    def _reject_skipped(self, method: str, call_id: int, params: object) -> None:
-        """Reject a query whose statement was not stored, as the receive buffers were full."""
+    def _reject_skipped(self, reason: SkipReason, method: str, call_id: int, params: object) -> None:
+        """Reject a query whose statement was not stored. Raises `JsonRpcError`."""
+        if reason is SkipReason.TOO_LARGE:
+            raise JsonRpcError(ErrorCode.INVALID_PARAMS, "message is too long")
         query = self.frontend.query_parser.parse(method, params, has_statement=False)
         call = self.open_calls[call_id] = PendingCall(self, call_id)
         self.core.ledger.reject_at_admission(query, call, "receive_buffers_full")
--- a/tests/net/jsonrpc/test_jsonrpc_framing.py
+++ b/tests/net/jsonrpc/test_jsonrpc_framing.py
@@ -61,6 +61,21 @@
                 assert client.get()["error"]["code"] == -32600
                 assert client.get() is None
 
+    def test_a_message_that_is_too_long_is_answered_and_costs_no_other_call(self):
+        """Regression: a message over 512 KB was answered under the id null, and what followed it dropped."""
+        engine = self.engine(answer_on_release)
+        engine.released = False
+        client = self.client(self.broker(engine))
+        running = client.ask("report", wait=20_000)
+        too_long = client.ask("report", statement=b"SELECT '" + b"x" * 600_000 + b"'")
+        behind = client.send("status")
+        answer = client.get()
+        assert (answer["id"], answer["error"]["code"]) == (too_long, -32602)
+        assert client.get()["id"] == behind
+        engine.released = True
+        answer = client.get()
+        assert (answer["id"], result_rows(answer)) == (running, ROW)
+
     def test_a_message_whose_handling_fails_is_answered_and_costs_no_other_call(self):
         """Regression: an exception while one message was handled ended the connection over its open calls."""
         engine = self.engine(answer_on_release)
