--- a/cypressledge/net/jsonrpc/framing.py
+++ b/cypressledge/net/jsonrpc/framing.py
@@ -42,8 +42,8 @@
     """Splits the bytes that a client sends into messages.
 
     A message that is too large is not stored, but read to its end like any other: its call can be answered by
-    its outline, and so can the messages behind it. The incomplete messages of all clients share a budget; when
-    it is exhausted, the largest of them is no longer stored.
+    its outline, and so can the messages behind it. The incomplete messages of all clients share a budget.
+    When it is exhausted, the largest of them is no longer stored.
     """
 
     def __init__(self, on_skip: Callable[[], None]) -> None:
