Receive buffers: less memory where hundreds of clients hold incomplete messages

Change: received bytes are stored in parts of at most 16 KB (net/byte_queue.py) and charged before others run; a closed connection detaches its callbacks. Incomplete messages may take an eighth of the spare memory in place of a fourth: they are charged byte for byte now, where each was charged with a power of two.

--- a/cypressledge/broker_process/reconfiguration.py
+++ b/cypressledge/broker_process/reconfiguration.py
@@ -18,7 +18,8 @@
 MAX_OPEN_REQUESTS = 4_000  # requests; fewer if the spare memory does not suffice
 BYTES_PER_OPEN_REQUEST = 10_000  # bytes of memory, without the statement
 MEMORY_SHARE_OF_STATEMENTS = 8  # divisor: statements may use 1/8 of the spare memory
-MEMORY_SHARE_OF_BUFFERS = 4  # divisor: buffers may use 1/4 of the spare memory
+MEMORY_SHARE_OF_RECEIVE_BUFFERS = 8  # divisor: incomplete messages may use 1/8 of the spare memory
+MEMORY_SHARE_OF_SEND_QUEUES = 4  # divisor: queued answers may use 1/4 of the spare memory
 DESCRIPTORS_PER_CLOSING_CLIENT = 32  # divisor: 1/32 of the descriptors are for evicted clients that close
 
 
@@ -80,8 +81,8 @@
         ledger.max_retry_after = limits.max_retry_after
         ledger.max_open_requests = min(MAX_OPEN_REQUESTS, limits.spare_memory // BYTES_PER_OPEN_REQUEST)
         ledger.max_statement_bytes = limits.spare_memory // MEMORY_SHARE_OF_STATEMENTS
-        buffers = limits.spare_memory // MEMORY_SHARE_OF_BUFFERS
-        BUFFER_GROWTH.limit = QUEUED_BYTES.limit = buffers
+        BUFFER_GROWTH.limit = limits.spare_memory // MEMORY_SHARE_OF_RECEIVE_BUFFERS
+        QUEUED_BYTES.limit = limits.spare_memory // MEMORY_SHARE_OF_SEND_QUEUES
         parts.transport.limits = limits
         parts.transport.max_connections = limits.max_engine_connections(is_shared)
         parts.tenants.site_tenants = config.tenants
--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -228,7 +228,7 @@
             call.cancel()
         self.frontend.connections.discard(self)
         self.reader.close()
-        self.writer.close()
+        self.writer.detach()
         close_socket(self.sock)
 
     def _log_close(self) -> None:
--- a/cypressledge/net/jsonrpc/framing.py
+++ b/cypressledge/net/jsonrpc/framing.py
@@ -94,9 +94,9 @@
         return self._take_skipped(self._skipped)
 
     def _take_skipped(self, skipped: SkippedMessage) -> Frame | None:
-        part = self.buffer.take(min(len(self.buffer), skipped.remaining)) or b""
-        skipped.outline.add(part)
-        skipped.remaining -= len(part)
+        while part := self.buffer.take_part(skipped.remaining):
+            skipped.outline.add(part)
+            skipped.remaining -= len(part)
         if skipped.remaining:
             return None
         self._skipped = None
--- a/cypressledge/net/receive_buffer.py
+++ b/cypressledge/net/receive_buffer.py
@@ -5,6 +5,7 @@
 from gevent import socket
 
 from cypressledge.net.byte_budget import ByteBudget
+from cypressledge.net.byte_queue import ByteQueue
 
 UNCHARGED_SIZE = 4096  # bytes that each buffer may hold without a reservation
 READ_SIZE = 16 << 10  # bytes of one read
@@ -27,7 +28,7 @@
         "limit",
         "was_filled",
         "_charged_bytes",
-        "_data",
+        "_bytes",
         "_on_give_up",
         "_read_size",
         "_uncharged_size",
@@ -45,7 +46,7 @@
         limit are in bytes, `read_size` is at most that of the shared read buffer."""
         self.limit = limit
         self.was_filled = False  # the last read got all that it asked for; the peer may have sent more
-        self._data = bytearray()
+        self._bytes = ByteQueue()
         self._read_size, self._uncharged_size = read_size, uncharged_size
         self._charged_bytes = 0
         self._on_give_up = on_give_up
@@ -54,7 +55,7 @@
         self.close()
 
     def __len__(self) -> int:
-        return len(self._data)
+        return len(self._bytes)
 
     @property
     def held_bytes(self) -> int:
@@ -72,14 +73,15 @@
         Bytes that are still held from earlier reads are charged to the budget before the wait. Does not yield
         to other greenlets once bytes are read: a timeout raised there would lose them. Raises
         `BufferLimitError` and `OSError`."""
-        self._charge_held_bytes()
+        self.charge_held_bytes()
         received = sock.recv_into(SHARED_READ_BUFFER, self._read_size)
         self.was_filled = received == self._read_size
         with memoryview(SHARED_READ_BUFFER) as view:
-            self._data += view[:received]
+            self._bytes.append(view[:received])
         return received
 
-    def _charge_held_bytes(self) -> None:
+    def charge_held_bytes(self) -> None:
+        """Charge the bytes held to the budget, before others can run. Raises `BufferLimitError`."""
         if len(self) >= self.limit:
             raise BufferLimitError(f"{len(self)} bytes unread")
         growth = len(self) - self._uncharged_size - self._charged_bytes
@@ -98,33 +100,37 @@
         """Return the bytes before the delimiter without removing them; None until it has been received.
 
         Raises `BufferLimitError` if the delimiter is not within the first `limit` bytes."""
-        at = self._data.find(delimiter)
-        if at < 0 or at > limit:
+        at = self._bytes.find(delimiter, limit + len(delimiter))
+        if at < 0:
             if len(self) > limit:
                 raise BufferLimitError(f"no end of line in {limit} bytes")
             return None
-        return bytes(self._data[:at])
+        return self._bytes.peek(at)
 
     def take(self, size: int) -> bytes | None:
         """Remove and return `size` bytes; None until that many have been received."""
         if len(self) < size:
             return None
-        with memoryview(self._data) as view:
-            taken = bytes(view[:size])
-        del self._data[:size]
+        taken = self._bytes.take(size)
+        self._release_charge()
+        return taken
+
+    def take_part(self, max_size: int) -> bytes:
+        """Remove and return some of the unread bytes, at least one if there are any."""
+        taken = self._bytes.take_part(max_size) if len(self) and max_size else b""
         self._release_charge()
         return taken
 
     def take_all(self) -> bytes:
         """Remove and return all unread bytes."""
-        taken = bytes(self._data)
-        self._data.clear()
+        taken = self._bytes.take(len(self))
         self._release_charge()
         return taken
 
     def close(self) -> None:
-        """Drop all bytes and return what is charged for them."""
-        self._data.clear()
+        """Drop all bytes and return what is charged for them. The buffer must not be used any more."""
+        self._on_give_up = None  # it refers to the owner, which would be freed only by a garbage collection
+        self._bytes.clear()
         self._release_charge()
 
     def _release_charge(self) -> None:
--- a/cypressledge/net/socket_io.py
+++ b/cypressledge/net/socket_io.py
@@ -105,6 +105,7 @@
     not between a read and its processing: an eviction at that point would take the connection for an idle
     one and close it despite the request in its buffer."""
     if buffer.was_filled:
+        buffer.charge_held_bytes()
         sleep(0)
     while True:
         with Timeout(read_timeout(), False):
--- a/cypressledge/net/socket_writer.py
+++ b/cypressledge/net/socket_writer.py
@@ -16,6 +16,10 @@
 ShouldSend = Callable[[], bool]
 
 
+def _ignore_failure(reason: str) -> None:
+    """Handle a failure after the end of the connection."""
+
+
 class SocketWriter:
     """Sends queued bytes in a greenlet that runs while there are any; `write` never blocks.
 
@@ -54,6 +58,13 @@
         if self.queued_bytes > self.queue_limit:
             self._fail("peer does not read")
 
+    def detach(self) -> None:
+        """Close, and report nothing more to the owner, which has ended the connection.
+
+        The owner could otherwise be freed only by a garbage collection."""
+        self.close()
+        self.on_failure = _ignore_failure
+
     @property
     def held_bytes(self) -> int:
         """See `BudgetHolder`; bytes that are being sent count as well."""
--- a/tests/race_conditions/test_resource_exhaustion.py
+++ b/tests/race_conditions/test_resource_exhaustion.py
@@ -126,7 +126,7 @@
         """Regression: once others had used up the buffers, a whole request was dropped without an answer."""
         engine = self.engine(answer_on_release)
         engine.released = False
-        broker = self.broker(engine, change=limits(memory_mb=30))  # 1 MB for all buffers
+        broker = self.broker(engine, change=limits(memory_mb=30))  # 512 KB for all buffers
         client, other_client = self.client(broker), self.client(broker)
         client.ask("report", wait=20_000)
         wait_until(lambda: engine.wants, "the first query at the engine")
