Tests: an update of the fake directory's serial is not lost to an outdated answer

Cause, by reading: the fake made its outdated answer by setting its own serial to 0 and back in the server's thread. A serial that the test set in between was lost, so the new list was never newer. Not reproduced.

Change: the serial of the outdated answer is passed. The test is unchanged.

--- a/tests/fakes/fake_name_server.py
+++ b/tests/fakes/fake_name_server.py
@@ -7,6 +7,8 @@
 import dns.message
 import dns.rrset
 
+OUTDATED_SERIAL = 0  # older than every list
+
 
 class FakeNameServer:
     """A UDP server that answers SRV queries for the engine directory and PTR/SRV/TXT/A queries for DNS-SD.
@@ -44,9 +46,7 @@
             return
         valid = self._answer(query)
         if self.sends_invalid_answers:
-            serial, self.serial = self.serial, 0
-            outdated = self._answer(dns.message.from_wire(raw))
-            self.serial = serial
+            outdated = self._answer(dns.message.from_wire(raw), OUTDATED_SERIAL)
             server_failure = valid[:3] + bytes([valid[3] | 2]) + valid[4:]
             for invalid in (server_failure, valid[:-9], bytes([valid[0] ^ 1]) + valid[1:], outdated):
                 self.sock.sendto(invalid, peer)
@@ -68,7 +68,9 @@
         raw, peer = self.last
         self.sock.sendto(self._answer(dns.message.from_wire(raw)), peer)
 
-    def _answer(self, query):
+    def _answer(self, query, serial=None):
+        """Return the answer to a query, with the serial number of the present list unless one is given."""
+        serial = self.serial if serial is None else serial
         answer = dns.message.make_response(query)
         name = query.question[0].name.to_text()
 
@@ -94,7 +96,7 @@
                     "TXT",
                     f'"kind=node-8c" "cell=0" "started={self.engines_started_ms}"',
                 )
-            add(answer.authority, "cluster.lan.", "SOA", f"ns. root. {self.serial} 1 1 1 1")
+            add(answer.authority, "cluster.lan.", "SOA", f"ns. root. {serial} 1 1 1 1")
         elif name in self.instances:
             port, state = self.instances[name]
             add(answer.answer, name, "SRV", f"0 0 {port} host.cluster.lan.")
