--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,9 +1,5 @@
-"""Case 6: a failed query of a class that is unsafe to repeat is answered as a refusal, and is applied twice."""
+"""Case 6: an INSERT that has run is refused, though its client gave it no key, and is applied twice."""
 
-import copy
-import hashlib
-import http.client
-import secrets
 import sys
 import threading
 import time
@@ -11,103 +7,68 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "shared-2"))
 
-from clickhouse import SERVICE, ClickHouseEngine, NameServer  # noqa: E402
-from fleet import SETTINGS, Broker  # noqa: E402
-from harness import TROUBLE, Case, CouldNotRunError, call, free_port, play, wait_for  # noqa: E402
+from clickhouse import ClickHouseEngine, HostedService, Table
+from harness import TROUBLE, Case, CouldNotRunError, play, wait_for
 
-KEY = "a-key-of-the-sales-office"
-ROUNDS = 12
-WAIT_S = 1.5  # the client's max_execution_time
+ENGINES = 6  # one of them dies: 17 in 100
+INSERTS = 36  # each into a group of tables of its own
+RUN_S = 1.5  # an INSERT's time at its engine
+REPEATS = 3  # a client's, after a refusal
 
 
-def settings() -> dict:
-    """Return the site's settings with one more class, unsafe to repeat, as the pages allow."""
-    site = copy.deepcopy(SETTINGS)
-    unsafe = copy.deepcopy(site["Classes"][2]) | {"Name": "ledger", "Idempotency": "single_shot"}
-    del unsafe["Group"], unsafe["MemorySpan"]
-    site["Classes"].append(unsafe)
-    site["FamilyInfo"]["IsLoad"].append(False)
-    site["FamilyInfo"]["ClassWaits"].append(False)
-    site["FamilyInfo"]["ThreadsByClass"].append(1)
-    return site
-
-
-def ask(case: Case, port: int, row: str) -> tuple[int, str, str]:
-    """Send one INSERT under a new query id; return status, exception code and the text."""
-    name = secrets.token_hex(8)
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S + 4)
-    try:
-        path = f"/?workload=ledger&max_execution_time={WAIT_S}&query_id={name}"
-        headers = {"X-ClickHouse-User": "sales-office", "X-ClickHouse-Key": KEY}
-        case.record.write(f"client sends {name}: INSERT of row {row}")
-        connection.request("POST", path, f"INSERT INTO sales_17.ledger VALUES ('{row}')".encode(), headers)
-        response = connection.getresponse()
-        text = response.read().decode("utf-8", "replace").strip()
-        code = response.getheader("X-ClickHouse-Exception-Code", "")
-        case.record.write(f"client has for {name}: HTTP {response.status}, exception code {code or '-'}: {text}")
-        return response.status, code, text
-    finally:
-        connection.close()
+def send(service: HostedService, row: str, group: int) -> None:
+    """Send one INSERT as the README shows it; repeat it, under a new query id, only after a refusal."""
+    for _ in range(1 + REPEATS):
+        answer = service.insert(f"INSERT INTO sales_{group}.ledger VALUES ('{row}')")
+        if answer.status != 503:
+            return
+        time.sleep(answer.retry_after or 1)
 
 
 def run(case: Case) -> tuple[bool, str]:
-    """Ask for one INSERT a round; repeat it only where the answer was a refusal; count what was applied."""
-    losing = threading.Event()  # the second engine's answers do not arrive
-    applied: dict[str, int] = {}
-
-    def full(engine: ClickHouseEngine, name: str, parameters: dict, body: bytes) -> tuple:
-        """Turn a query away: it never ran."""
-        case.record.write(f"{engine.name} turns {name} away, full: it never ran")
-        return 503, 202, b"Code: 202. DB::Exception: Too many simultaneous queries. (TOO_MANY)"
+    """Have INSERTs run at six engines, let one die that has run its share, and count the rows."""
+    table = Table()
+    running: dict[str, int] = {}
+    dead: list[ClickHouseEngine] = []
 
     def take(engine: ClickHouseEngine, name: str, parameters: dict, body: bytes) -> tuple | None:
-        """Run a query; during the trouble its answer does not arrive."""
+        """Run an INSERT: it is applied at once, and answered later, unless its engine has died by then."""
         row = body.decode().split("'")[1]
-        applied[row] = applied.get(row, 0) + 1
-        is_lost = losing.is_set()
-        word = "its answer does not arrive" if is_lost else "and answers"
-        case.record.write(f"{engine.name} runs {name}: row {row} is applied ({applied[row]}), {word}")
-        return None if is_lost else (200, 0, b"")
+        token = parameters.get("insert_deduplication_token", "")
+        is_new = table.insert(row, token)
+        running[engine.name] = running.get(engine.name, 0) + 1
+        case.record.write(
+            f"{engine.name} runs {name} (workload {parameters.get('workload')}, token {token}): "
+            f"row {row} {'is applied' if is_new else 'is known by its token: dropped'}"
+        )
+        time.sleep(RUN_S)
+        return None if engine in dead else (200, 0, b"")
 
-    engines = [ClickHouseEngine("s-full", full), ClickHouseEngine("s-taking", take)]
-    name_server = NameServer(engines, "node-16c")
-    http_port, admin_port = free_port(), free_port()
-    digest = hashlib.sha256(KEY.encode()).hexdigest()
-    service = case.tmp / "clickhouse.toml"
-    service.write_text(
-        f'[clickhouse]\nlisten = "127.0.0.1:{http_port}"\n\n'
-        '[engines]\nuser = "broker"\nkey_env = "CYPRESSLEDGE_ENGINE_KEY"\n\n'
-        f'[dns_sd]\nserver = "127.0.0.1:{name_server.port}"\nservice = "{SERVICE.rstrip(".")}"\n\n'
-        f'[admin]\nlisten = "127.0.0.1:{admin_port}"\ntoken_env = "CYPRESSLEDGE_ADMIN_TOKEN"\n\n'
-        f'[[tenant]]\nname = "sales-office"\nkey_sha256 = "{digest}"\n',
-        encoding="utf-8",
-    )
-    broker = Broker(
-        case, "n1", {}, f"--service {service}", settings=settings(),
-        CYPRESSLEDGE_ENGINE_KEY="engine-key", CYPRESSLEDGE_ADMIN_TOKEN="an-admin-token-of-24-ch",
-    ).wait_until_ready()
-    wait_for(lambda: call(http_port, "GET", "/ping")[0] == 200, "the engines to be found")
-    refusals = 0
-    for number in range(ROUNDS):
-        row = f"payment-{number}"
-        if TROUBLE:
-            losing.set()
-        status, code, _ = ask(case, http_port, row)
-        losing.clear()
-        if status == 503:  # refused: trying again is harmless
-            refusals += 1
-            time.sleep(1.0)
-            ask(case, http_port, row)
-        if applied.get(row, 0) > 1:
-            return False, (
-                f"row {row} was applied {applied[row]} times: the first try, which had run, was answered "
-                f"HTTP 503, exception code {code}"
-            )
-        if case.exits():
-            raise CouldNotRunError(f"a process ended: {case.exits()} {case.log(broker.name)[-300:]}")
-    if not any(applied.values()):
-        raise CouldNotRunError("no query ran")
-    return True, f"{len(applied)} rows applied once each, {refusals} refusals"
+    engines = [ClickHouseEngine(f"s-{number}", take) for number in range(ENGINES)]
+    service = HostedService(case, engines)
+    clients = [
+        threading.Thread(target=send, args=(service, f"row-{number}", number + 1), daemon=True)
+        for number in range(INSERTS)
+    ]
+    for client in clients:
+        client.start()
+    wait_for(lambda: len(table.applied) == INSERTS, "all INSERTs to run", RUN_S - 0.3)
+    if TROUBLE:
+        dying = max(engines, key=lambda engine: running.get(engine.name, 0))
+        case.record.write(f"{dying.name} dies with {running[dying.name]} INSERTs that it has not answered")
+        dead.append(dying)
+        dying.die()
+    for client in clients:
+        client.join(60)
+    if case.exits():
+        raise CouldNotRunError(f"a process ended: {case.exits()}")
+    twice = sorted(row for row, count in table.applied.items() if count > 1)
+    if twice:
+        return False, (
+            f"{len(twice)} of {INSERTS} rows were applied twice, each repeated by its client only after a "
+            f"refusal: {' '.join(twice)}"
+        )
+    return True, f"{len(table.applied)} rows, each applied once"
 
 
 play(__file__, run)
--- a/review/shared-2/engines.py
+++ b/review/shared-2/engines.py
@@ -106,13 +106,25 @@
         self.number = 0
         self.names: dict[int, str] = {}
 
-    def ask(self, method: str, wait_ms: int, statement: bytes = b"SELECT a, b, c FROM sales_17.orders",
-            cost: float = 50.0, **more: object) -> int:
+    def ask(
+        self,
+        method: str,
+        wait_ms: int,
+        statement: bytes = b"SELECT a, b, c FROM sales_17.orders",
+        cost: float = 50.0,
+        **more: object,
+    ) -> int:
         """Send one query; return its number on the connection."""
         self.number += 1
         name = self.names[self.number] = secrets.token_hex(8)
-        params = {"id": name, "wait": wait_ms, "tenant": "sahel", "cost": cost, "mem": 10,
-                  "content": base64.b64encode(statement).decode()} | more
+        params = {
+            "id": name,
+            "wait": wait_ms,
+            "tenant": "sahel",
+            "cost": cost,
+            "mem": 10,
+            "content": base64.b64encode(statement).decode(),
+        } | more
         body = json.dumps({"jsonrpc": "2.0", "id": self.number, "method": method, "params": params}).encode()
         self.sock.sendall(b"Content-Length: %d\r\n\r\n" % len(body) + body)
         return self.number
