Review, case 7: a failed query that is unsafe to repeat is answered as a refusal

Cause: found by a random load on the hosted service; the last fault of any attempt is the client's answer.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,6 @@
-"""Case 7: one broker entry of an operator's change, accepted as valid, ends every broker of the fleet."""
+"""Case 7: a query that is unsafe to repeat fails, is answered as a refusal, and is applied twice."""
 
-import json
-import subprocess
+import copy
 import sys
 import threading
 import time
@@ -9,84 +8,73 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "shared-2"))
 
-from engines import Client, LineEngine  # noqa: E402
-from fleet import Broker, ControlPlane, fleet_file  # noqa: E402
-from harness import RUN_PROGRAM, TROUBLE, Case, free_port, play, wait_for  # noqa: E402
+from clickhouse import ClickHouseEngine, HostedService, Table
+from fleet import SETTINGS
+from harness import TROUBLE, Case, CouldNotRunError, play
 
-NAMES = ["n1", "n2", "n3"]
-MISTYPED = "dépôt-sfax..localhost:9701"  # an empty label: no name at all, and never looked up
-CLIENT_WAIT_MS = 3000
+ROUNDS = 12
+WAIT_S = 1.5  # the client's max_execution_time
+FULL = b"Code: 202. DB::Exception: Too many simultaneous queries. (TOO_MANY_SIMULTANEOUS_QUERIES)"
 
 
-def ask_steadily(case: Case, broker: Broker, stop: threading.Event, lost: list[str]) -> None:
-    """Send one lookup after the other to a broker; note each that was taken and got no answer."""
-    client = Client(broker.port)
-    while not stop.is_set():
-        number = client.ask("lookup", CLIENT_WAIT_MS)
-        if client.get() is None:
-            lost.append(f"{client.names[number]} at {broker.name}")
-            case.record.write(f"{broker.name}: the connection ended without an answer to "
-                              f"{client.names[number]}")
-            return
-        time.sleep(0.01)
+def settings() -> dict:
+    """Return the site's settings with one more class, unsafe to repeat, as the pages allow."""
+    site = copy.deepcopy(SETTINGS)
+    unsafe = copy.deepcopy(site["Classes"][2]) | {"Name": "ledger", "Idempotency": "single_shot"}
+    del unsafe["Group"], unsafe["MemorySpan"]
+    site["Classes"].append(unsafe)
+    site["FamilyInfo"]["IsLoad"].append(False)
+    site["FamilyInfo"]["ClassWaits"].append(False)
+    site["FamilyInfo"]["ThreadsByClass"].append(1)
+    return site
 
 
 def run(case: Case) -> tuple[bool, str]:
-    """Bring up a fleet under a control plane, make the change, and watch the brokers."""
-    engines = [LineEngine() for _ in range(3)]
-    for engine in engines:
-        engine.on_want = lambda name, fields: time.sleep(0.05)
-    listed = {f"s-{i}": engine.port for i, engine in enumerate(engines)}
-    seed = {"engines": {name: {"address": f"127.0.0.1:{port}", "kind": "node-16c", "zone": "sfax-room1"}
-                        for name, port in listed.items()}}
-    control = ControlPlane(case, seed)
-    fleet = fleet_file(case, NAMES)
-    brokers = [Broker(case, name, listed, f"--fleet {fleet} --control {control.file}") for name in NAMES]
-    for broker in brokers:
-        broker.wait_until_ready()
-    control.wait_for_leader()
-    wait_for(lambda: control.status(control.leader()).get("version", 0) >= 2, "the brokers' registration")
-    stop, lost = threading.Event(), []
-    clients = [threading.Thread(target=ask_steadily, args=(case, broker, stop, lost), daemon=True)
-               for broker in brokers]
-    for client in clients:
-        client.start()
-    time.sleep(2.0)
+    """Ask for one INSERT a round; repeat it only where the answer was a refusal; count what was applied."""
+    losing = threading.Event()  # the second engine's answers do not arrive
+    table = Table()
 
-    address = MISTYPED if TROUBLE else f"127.0.0.1:{free_port()}"
-    file = case.tmp / "change.yaml"
-    entry = {"brokers": {"n4": {"address": address, "zone": "sfax-room1"}}}
-    file.write_text(json.dumps(entry, ensure_ascii=False), encoding="utf-8")
-    at = " ".join(f"--at 127.0.0.1:{port}" for port in control.management.values())
-    case.record.write(f"operator: control change, brokers: n4: address: {address!r}")
-    change = subprocess.run(
-        ["/bin/sh", "-c", f"exec {RUN_PROGRAM} control change {file} {at} --wait 5 --why 'a fourth broker'"],
-        cwd=Path(__file__).resolve().parents[2], capture_output=True, timeout=30, check=False,
-    )
-    said = (change.stdout + change.stderr).decode("utf-8", "replace").strip().replace("\n", " | ")
-    case.record.write(f"operator has: exit {change.returncode}: {said}")
-    time.sleep(4.0)
-    stop.set()
-    for client in clients:
-        client.join(CLIENT_WAIT_MS / 1000 + 1.0)
-    ended = {name: code for name, code in case.exits().items() if name in NAMES}
-    for name, code in ended.items():
-        why = [line for line in case.log(name).splitlines() if "a part of the broker failed" in line]
-        case.record.write(f"{name} has ended with {code}: {why[-1] if why else ''}")
-    again = ""
-    if ended:  # the platform starts it anew
-        broker = next(b for b in brokers if b.name in ended)
-        broker.start()
-        time.sleep(8.0)
-        code = case.processes[broker.name].poll()
-        again = f"; {broker.name}, started again, " + ("serves" if code is None else f"ended with {code}")
-        case.record.write(again[2:])
-    if ended or lost:
-        return False, (
-            f"after one change (exit {change.returncode}) these brokers ended: {ended}; "
-            f"{len(lost)} requests taken and never answered{again}"
+    def full(engine: ClickHouseEngine, name: str, parameters: dict, body: bytes) -> tuple:
+        """Turn a query away: it never ran."""
+        case.record.write(f"{engine.name} turns {name} away, full: it never ran")
+        return 503, 202, FULL
+
+    def take(engine: ClickHouseEngine, name: str, parameters: dict, body: bytes) -> tuple | None:
+        """Run a query; during the trouble its answer does not arrive."""
+        row = body.decode().split("'")[1]
+        table.insert(row, "")
+        is_lost = losing.is_set()
+        word = "its answer does not arrive" if is_lost else "and answers"
+        case.record.write(
+            f"{engine.name} runs {name}: row {row} is applied (times: {table.applied[row]}), {word}"
         )
-    return True, f"the change was answered with exit {change.returncode}; all brokers serve"
+        return None if is_lost else (200, 0, b"")
+
+    engines = [ClickHouseEngine("s-full", full), ClickHouseEngine("s-taking", take)]
+    service = HostedService(case, engines, settings())
+    refusals = 0
+    for number in range(ROUNDS):
+        row = f"payment-{number}"
+        statement = f"INSERT INTO sales_17.ledger VALUES ('{row}')"
+        parameters = f"&workload=ledger&max_execution_time={WAIT_S}"
+        if TROUBLE:
+            losing.set()
+        answer = service.insert(statement, parameters)
+        losing.clear()
+        if answer.status == 503:  # refused: trying again is harmless
+            refusals += 1
+            time.sleep(answer.retry_after or 1)
+            service.insert(statement, parameters)
+        if table.applied.get(row, 0) > 1:
+            return False, (
+                f"row {row} was applied {table.applied[row]} times: the first try, which had run, was "
+                f"answered HTTP 503, exception code {answer.code}"
+            )
+        if case.exits():
+            raise CouldNotRunError(f"a process ended: {case.exits()}")
+    if not table.applied:
+        raise CouldNotRunError("no query ran")
+    return True, f"{len(table.applied)} rows applied once each, {refusals} refusals"
 
 
 play(__file__, run)
