--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,77 +1,126 @@
-"""Case 6: an INSERT that has run is refused, though its client gave it no key, and is applied twice."""
+"""Case 6: a header line that never ends, in some engines' answers, takes the broker over its memory limit."""
 
+import socket
 import sys
 import threading
 import time
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "shared-2"))
 
-from clickhouse import ClickHouseEngine, HostedService, Table
-from harness import TROUBLE, Case, CouldNotRunError, play, wait_for
+from clickhouse import ClickHouseEngine, HostedService
+from engines import Client
+from harness import TROUBLE, Case, CouldNotRunError, play
 
-ENGINES = 6  # one of them dies: 17 in 100
-# Each into a group of tables of its own. One engine has eight at least; the ration of further attempts is 7.
-INSERTS = 48
-REPEATS = 3  # a client's, after a refusal
+MEMORY_MB = 192  # the largest limit that the pages name, and the program's default
+ENGINES, CLIENTS, REPORTS_EACH = 6, 2, 32
+SPOILT_ONE_IN = 8
+RUN_S = 0.2  # how long an engine works on a report
+WATCH_S = 20.0
+WAIT_MS = 25_000  # the class's deadline
+ROWS = b"2026-12-05\tsfax\t1200\n" * 200
 
 
-def send(service: HostedService, row: str, group: int) -> None:
-    """Send one INSERT as the README shows it; repeat it, under a new query id, only after a refusal."""
-    for _ in range(1 + REPEATS):
-        answer = service.insert(f"INSERT INTO sales_{group}.ledger VALUES ('{row}')")
-        if answer.status != 503:
-            return
-        time.sleep(answer.retry_after or 1)
+class Answers:
+    """Decides which answers are spoilt: one of `SPOILT_ONE_IN`, from any engine equally."""
+
+    def __init__(self, case: Case) -> None:
+        self._case, self._lock, self.count, self.spoilt = case, threading.Lock(), 0, 0
+
+    def next_is_spoilt(self, engine: str, name: str) -> bool:
+        """Count one more answer, and return whether it is to be spoilt."""
+        with self._lock:
+            self.count += 1
+            is_spoilt = TROUBLE and self.count % SPOILT_ONE_IN == 0
+            self.spoilt += is_spoilt
+        kind = "a header line that never ends" if is_spoilt else "200 and all rows"
+        self._case.record.write(f"{engine} has run {name} and answers {kind}")
+        return is_spoilt
+
+
+class Engine(ClickHouseEngine):
+    """An engine whose answer is sound, or has a header line that never ends."""
+
+    def __init__(self, name: str, answers: Answers) -> None:
+        self.answers = answers
+        super().__init__(name, self.answer)
+
+    def answer(self, *_: object) -> tuple[int, str, bytes]:
+        """Return a sound answer."""
+        return 200, "", ROWS
+
+    def _serve(self, conn: socket.socket) -> None:
+        file = conn.makefile("rb")
+        try:
+            while target := file.readline().split():
+                size = 0
+                while (line := file.readline()).strip():
+                    if line.lower().startswith(b"content-length:"):
+                        size = int(line.split(b":")[1])
+                file.read(size)
+                name = parse_qs(urlsplit(target[1].decode()).query).get("query_id", [""])[0]
+                time.sleep(RUN_S)
+                head = f"HTTP/1.1 200 OK\r\nX-ClickHouse-Query-Id: {name}\r\n".encode()
+                if self.answers.next_is_spoilt(self.name, name):
+                    conn.sendall(head + b"X-ClickHouse-Summary: ")
+                    while True:
+                        conn.sendall(b"x" * 16_384)
+                conn.sendall(head + b"Content-Length: %d\r\n\r\n" % len(ROWS) + ROWS)
+        except (OSError, ValueError):
+            pass
+        finally:
+            conn.close()
+
+
+def memory_mb(pid: int) -> dict[str, float]:
+    """Return a process's memory in MB: all that is resident, and the part of it that is no file."""
+    lines = Path(f"/proc/{pid}/status").read_text(encoding="utf-8").splitlines()
+    fields = dict(line.split(":", 1) for line in lines if ":" in line)
+    return {name: int(fields[name].split()[0]) / 1024 for name in ("VmRSS", "RssAnon")}
+
+
+def read_answers(client: Client, answered: list[int]) -> None:
+    """Count the answers that a client gets."""
+    while client.get() is not None:
+        answered.append(1)
 
 
 def run(case: Case) -> tuple[bool, str]:
-    """Have INSERTs run at six engines, let one die that has run its share, and count the rows."""
-    table = Table()
-    running: dict[str, int] = {}
-    dead: list[ClickHouseEngine] = []
-    finish = threading.Event()
-
-    def take(engine: ClickHouseEngine, name: str, parameters: dict, body: bytes) -> tuple | None:
-        """Run an INSERT: apply it at once, answer it in the end, unless its engine has died by then."""
-        row = body.decode().split("'")[1]
-        token = parameters.get("insert_deduplication_token", "")
-        is_new = table.insert(row, token)
-        running[engine.name] = running.get(engine.name, 0) + 1
-        case.record.write(
-            f"{engine.name} runs {name} (workload {parameters.get('workload')}, token {token}): "
-            f"row {row} {'is applied' if is_new else 'is known by its token: dropped'}"
-        )
-        finish.wait(20)
-        return None if engine in dead else (200, 0, b"")
-
-    engines = [ClickHouseEngine(f"s-{number}", take) for number in range(ENGINES)]
-    service = HostedService(case, engines)
-    clients = [
-        threading.Thread(target=send, args=(service, f"row-{number}", number + 1), daemon=True)
-        for number in range(INSERTS)
-    ]
-    for client in clients:
-        client.start()
-    wait_for(lambda: len(table.applied) == INSERTS, "all INSERTs to run", 15)
-    if TROUBLE:
-        dying = max(engines, key=lambda engine: running.get(engine.name, 0))
-        case.record.write(f"{dying.name} dies with {running[dying.name]} INSERTs that it has not answered")
-        dead.append(dying)
-        dying.die()
-        time.sleep(0.3)
-    finish.set()
-    for client in clients:
-        client.join(60)
+    """Ask for reports, and compare the broker's memory with its limit while the engines answer."""
+    answers = Answers(case)
+    service = HostedService(case, [Engine(f"ch-{i}", answers) for i in range(ENGINES)], memory_mb=MEMORY_MB)
+    pid = case.processes["n1"].pid
+    case.record.write(f"at the start: {memory_mb(pid)}; the limit is {MEMORY_MB} MB")
+    answered: list[int] = []
+    asked = CLIENTS * REPORTS_EACH
+    for _ in range(CLIENTS):
+        client = Client(service.broker.port)
+        threading.Thread(target=read_answers, args=(client, answered), daemon=True).start()
+        for _ in range(REPORTS_EACH):
+            client.ask("report", WAIT_MS, cost=200.0)
+    case.record.write(f"{CLIENTS} clients have asked for {asked} reports")
+    highest, since, last = memory_mb(pid), time.monotonic(), 0.0
+    while time.monotonic() < since + WATCH_S and (TROUBLE or len(answered) < asked):
+        memory = memory_mb(pid)
+        highest = max(highest, memory, key=lambda each: each["RssAnon"])
+        if time.monotonic() > last + 0.5 or highest["RssAnon"] > MEMORY_MB:
+            last = time.monotonic()
+            case.record.write(f"{memory}; {len(answered)} answered, {answers.spoilt} spoilt")
+        if highest["RssAnon"] > MEMORY_MB:
+            break
+        time.sleep(0.05)
     if case.exits():
         raise CouldNotRunError(f"a process ended: {case.exits()}")
-    twice = sorted(row for row, count in table.applied.items() if count > 1)
-    if twice:
+    text = f"{highest['VmRSS']:.0f} MB ({highest['RssAnon']:.0f} MB of them no files) of {MEMORY_MB} MB"
+    if highest["RssAnon"] > MEMORY_MB:
         return False, (
-            f"{len(twice)} of {INSERTS} rows were applied twice, each repeated by its client only after a "
-            f"refusal: {' '.join(twice)}"
+            f"{time.monotonic() - since:.1f} s after the first request the broker takes {text}, with "
+            f"{answers.spoilt} spoilt answers: the platform kills it, with {asked - len(answered)} requests open"
         )
-    return True, f"{len(table.applied)} rows, each applied once"
+    if len(answered) < asked and not TROUBLE:
+        raise CouldNotRunError(f"{len(answered)} of {asked} answered without the disruption")
+    return True, f"the broker took {text}; {len(answered)} of {asked} answered"
 
 
 play(__file__, run)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,5 @@
-"""Case 7: a query that is unsafe to repeat fails, is answered as a refusal, and is applied twice."""
+"""Case 7: an INSERT that has run is refused, though its client gave it no key, and is applied twice."""
 
-import copy
 import sys
 import threading
 import time
@@ -9,72 +8,70 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "shared-2"))
 
 from clickhouse import ClickHouseEngine, HostedService, Table
-from fleet import SETTINGS
-from harness import TROUBLE, Case, CouldNotRunError, play
+from harness import TROUBLE, Case, CouldNotRunError, play, wait_for
 
-ROUNDS = 12
-WAIT_S = 1.5  # the client's max_execution_time
-FULL = b"Code: 202. DB::Exception: Too many simultaneous queries. (TOO_MANY_SIMULTANEOUS_QUERIES)"
+ENGINES = 6  # one of them dies: 17 in 100
+# Each into a group of tables of its own. One engine has eight at least; the ration of further attempts is 7.
+INSERTS = 48
+REPEATS = 3  # a client's, after a refusal
 
 
-def settings() -> dict:
-    """Return the site's settings with one more class, unsafe to repeat, as the pages allow."""
-    site = copy.deepcopy(SETTINGS)
-    unsafe = copy.deepcopy(site["Classes"][2]) | {"Name": "ledger", "Idempotency": "single_shot"}
-    del unsafe["Group"], unsafe["MemorySpan"]
-    site["Classes"].append(unsafe)
-    site["FamilyInfo"]["IsLoad"].append(False)
-    site["FamilyInfo"]["ClassWaits"].append(False)
-    site["FamilyInfo"]["ThreadsByClass"].append(1)
-    return site
+def send(service: HostedService, row: str, group: int) -> None:
+    """Send one INSERT as the README shows it; repeat it, under a new query id, only after a refusal."""
+    for _ in range(1 + REPEATS):
+        answer = service.insert(f"INSERT INTO sales_{group}.ledger VALUES ('{row}')")
+        if answer.status != 503:
+            return
+        time.sleep(answer.retry_after or 1)
 
 
 def run(case: Case) -> tuple[bool, str]:
-    """Ask for one INSERT a round; repeat it only where the answer was a refusal; count what was applied."""
-    losing = threading.Event()  # the second engine's answers do not arrive
+    """Have INSERTs run at six engines, let one die that has run its share, and count the rows."""
     table = Table()
-
-    def full(engine: ClickHouseEngine, name: str, parameters: dict, body: bytes) -> tuple:
-        """Turn a query away: it never ran."""
-        case.record.write(f"{engine.name} turns {name} away, full: it never ran")
-        return 503, 202, FULL
+    running: dict[str, int] = {}
+    dead: list[ClickHouseEngine] = []
+    finish = threading.Event()
 
     def take(engine: ClickHouseEngine, name: str, parameters: dict, body: bytes) -> tuple | None:
-        """Run a query; during the trouble its answer does not arrive."""
+        """Run an INSERT: apply it at once, answer it in the end, unless its engine has died by then."""
         row = body.decode().split("'")[1]
-        table.insert(row, "")
-        is_lost = losing.is_set()
-        word = "its answer does not arrive" if is_lost else "and answers"
+        token = parameters.get("insert_deduplication_token", "")
+        is_new = table.insert(row, token)
+        running[engine.name] = running.get(engine.name, 0) + 1
         case.record.write(
-            f"{engine.name} runs {name}: row {row} is applied (times: {table.applied[row]}), {word}"
+            f"{engine.name} runs {name} (workload {parameters.get('workload')}, token {token}): "
+            f"row {row} {'is applied' if is_new else 'is known by its token: dropped'}"
         )
-        return None if is_lost else (200, 0, b"")
+        finish.wait(20)
+        return None if engine in dead else (200, 0, b"")
 
-    engines = [ClickHouseEngine("s-full", full), ClickHouseEngine("s-taking", take)]
-    service = HostedService(case, engines, settings())
-    refusals = 0
-    for number in range(ROUNDS):
-        row = f"payment-{number}"
-        statement = f"INSERT INTO sales_17.ledger VALUES ('{row}')"
-        parameters = f"&workload=ledger&max_execution_time={WAIT_S}"
-        if TROUBLE:
-            losing.set()
-        answer = service.insert(statement, parameters)
-        losing.clear()
-        if answer.status == 503:  # refused: trying again is harmless
-            refusals += 1
-            time.sleep(answer.retry_after or 1)
-            service.insert(statement, parameters)
-        if table.applied.get(row, 0) > 1:
-            return False, (
-                f"row {row} was applied {table.applied[row]} times: the first try, which had run, was "
-                f"answered HTTP 503, exception code {answer.code}"
-            )
-        if case.exits():
-            raise CouldNotRunError(f"a process ended: {case.exits()}")
-    if not table.applied:
-        raise CouldNotRunError("no query ran")
-    return True, f"{len(table.applied)} rows applied once each, {refusals} refusals"
+    engines = [ClickHouseEngine(f"s-{number}", take) for number in range(ENGINES)]
+    service = HostedService(case, engines)
+    clients = [
+        threading.Thread(target=send, args=(service, f"row-{number}", number + 1), daemon=True)
+        for number in range(INSERTS)
+    ]
+    for client in clients:
+        client.start()
+    wait_for(lambda: len(table.applied) == INSERTS, "all INSERTs to run", 15)
+    if TROUBLE:
+        dying = max(engines, key=lambda engine: running.get(engine.name, 0))
+        case.record.write(f"{dying.name} dies with {running[dying.name]} INSERTs that it has not answered")
+        dead.append(dying)
+        dying.die()
+        time.sleep(0.3)
+    finish.set()
+    for client in clients:
+        client.join(60)
+    if case.exits():
+        raise CouldNotRunError(f"a process ended: {case.exits()}")
+    twice = sorted(row for row, count in table.applied.items() if count > 1)
+    if twice:
+        return False, (
+            f"{len(twice)} of {INSERTS} rows were applied twice, each repeated by its client only after a "
+            f"refusal: {' '.join(twice)}"
+        )
+    return True, f"{len(table.applied)} rows, each applied once"
 
 
 play(__file__, run)
--- a/review/shared-2/clickhouse.py
+++ b/review/shared-2/clickhouse.py
@@ -153,7 +153,13 @@
 class HostedService:
     """A broker with the hosted service before these engines, and a tenant's INSERTs over HTTP."""
 
-    def __init__(self, case: Case, engines: list[ClickHouseEngine], settings: dict | None = None) -> None:
+    def __init__(
+        self,
+        case: Case,
+        engines: list[ClickHouseEngine],
+        settings: dict | None = None,
+        memory_mb: int = 192,
+    ) -> None:
         self.case, self.port, admin_port = case, free_port(), free_port()
         self.name_server = NameServer(engines, "node-16c")
         service = case.tmp / "clickhouse.toml"
@@ -171,6 +177,7 @@
             {},
             f"--service {service}",
             settings=settings,
+            memory_mb=memory_mb,
             CYPRESSLEDGE_ENGINE_KEY="engine-key",
             CYPRESSLEDGE_ADMIN_TOKEN="an-admin-token-of-24-ch",
         ).wait_until_ready()
