--- a/review/6/case.py
+++ b/review/6/case.py
@@ -116,7 +116,8 @@
     if highest["RssAnon"] > MEMORY_MB:
         return False, (
             f"{time.monotonic() - since:.1f} s after the first request the broker takes {text}, with "
-            f"{answers.spoilt} spoilt answers: the platform kills it, with {asked - len(answered)} requests open"
+            f"{answers.spoilt} spoilt answers: the platform kills it; "
+            f"{asked - len(answered)} requests are open"
         )
     if len(answered) < asked and not TROUBLE:
         raise CouldNotRunError(f"{len(answered)} of {asked} answered without the disruption")
