--- a/review/shared-2/clickhouse.py
+++ b/review/shared-2/clickhouse.py
@@ -162,7 +162,7 @@
     ) -> None:
         self.case, self.port, admin_port = case, free_port(), free_port()
         self.name_server = NameServer(engines, "node-16c")
-        service = case.tmp / "clickhouse.toml"
+        service = self.service_file = case.tmp / "clickhouse.toml"
         service.write_text(
             f'[clickhouse]\nlisten = "127.0.0.1:{self.port}"\n\n'
             '[engines]\nuser = "broker"\nkey_env = "CYPRESSLEDGE_ENGINE_KEY"\n\n'
