--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,12 +17,14 @@
 
 
 def send(service: HostedService, row: str, group: int) -> None:
-    """Send one INSERT as the README shows it; repeat it, under a new query id, only after a refusal."""
-    for _ in range(1 + REPEATS):
-        answer = service.insert(f"INSERT INTO sales_{group}.ledger VALUES ('{row}')")
-        if answer.status != 503:
+    """Send one INSERT as the README shows it; repeat it, under a new query id and marked as a repeat, only
+    after a rejection as the README has it: 503 with `Retry-After`."""
+    for attempt in range(1 + REPEATS):
+        mark = "&client_retry=1" if attempt else ""
+        answer = service.insert(f"INSERT INTO sales_{group}.ledger VALUES ('{row}')", mark)
+        if answer.status != 503 or not answer.retry_after:
             return
-        time.sleep(answer.retry_after or 1)
+        time.sleep(answer.retry_after)
 
 
 def run(case: Case) -> tuple[bool, str]:
