Bound the heads of HTTP engines' responses, and charge them to the budget of responses

Cause: httptools holds a field until its end and reports it only then. EngineResponse limited what the parser reports, and nothing counted what was passed to it.

Change: HeadMeter (net/http_head.py) counts the bytes that are not body since the last part of one, those of an unfinished field, and the fields. Beyond a limit the attempt ends as RESET; unfinished fields are charged to BUFFERED_RESPONSES (before: BUFFERED_RESULTS). The parser is freed with the response.

--- a/cypressledge/net/clickhouse/engine_response.py
+++ b/cypressledge/net/clickhouse/engine_response.py
@@ -11,15 +11,28 @@
 from cypressledge.broker.requests import DEADLINE_FAULT, Attempt, EngineFault
 from cypressledge.decisions.contract import Outcome, ProgressKind
 from cypressledge.net.byte_budget import ByteBudget
+from cypressledge.net.http_head import HeadLimits, HeadMeter
 
 MAX_RESULT_SIZE = 8 << 20  # bytes; maximum size of a result that is buffered, not streamed
-# Bytes of all results that are buffered; default until the configuration is known.
-BUFFERED_RESULTS = ByteBudget(8 << 20)
+# Bytes of all responses that are held: buffered results, and unfinished header fields in the parsers; default
+# until the configuration is known.
+BUFFERED_RESPONSES = ByteBudget(8 << 20)
+# While a query runs, its engine reports the progress in a header field of about 150 bytes each second.
+HEAD_LIMITS = HeadLimits(max_size=1 << 20, max_field_size=64 << 10, max_fields=10_000)
+UNCHARGED_HEAD_SIZE = 1024  # bytes of a head that each response may hold without a reservation
+MAX_EXCEPTION_TAG_SIZE = 256  # bytes
 MAX_ERROR_SIZE = 16 << 10  # bytes; longer error texts are cut off
 NEVER_EXECUTED_CODES = frozenset((0, 202, 439))  # exception codes; with HTTP 503, nothing was executed
 FINAL_STATUSES = frozenset((400, 404, 413, 501))  # HTTP; the statement is invalid, so no engine can run it
 
 
+class ResponsesTooLargeError(ValueError):
+    """A response was dropped because all of them together hold too much."""
+
+    def __init__(self) -> None:
+        super().__init__("buffered responses together hold too much")
+
+
 @dataclass(frozen=True, slots=True)
 class EngineResult:
     """The outcome of an attempt at its engine."""
@@ -39,8 +52,10 @@
         """`on_give_up` must end the exchange; it is called when other results need the memory of this one."""
         self.core, self.attempt = core, attempt
         self._on_give_up = on_give_up
-        self._held_bytes = 0  # reserved from `BUFFERED_RESULTS`
-        self._is_dropped = False  # the rows were dropped before the response was complete
+        self._held_bytes = 0  # reserved from `BUFFERED_RESPONSES`
+        self._held_head_bytes = 0  # the part of them that an unfinished header field takes
+        self._head = HeadMeter(HEAD_LIMITS)
+        self._body_bytes = 0  # of the bytes that are being parsed, those of the body
         self.status = 0  # HTTP status; 0 until it is received
         self.exception_code = 0
         self.exception_tag = b""  # marks the beginning of an exception in the middle of the rows
@@ -49,43 +64,69 @@
         self.is_complete = False
         self._is_foreign = False  # the response that is being parsed names another query
         self._has_surplus = False  # something followed the complete response
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)  # None: closed
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes. Raises `httptools.HttpParserError` unless the response is complete.
 
-        Raises `ValueError` if the rows before them were dropped: the socket may still hold received bytes."""
-        if self._is_dropped:
-            raise ValueError("buffered results together hold too much")
+        Raises `ValueError` if the head exceeds its limits, and if what was received before was dropped: the
+        socket may still hold received bytes."""
+        if self._parser is None:
+            raise ResponsesTooLargeError
+        self._body_bytes = 0
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError:
             if not self.is_complete:
                 raise
             self._has_surplus = True
+        if self.is_complete:
+            self._hold_head(0)
+        else:
+            self._head.add_parsed(len(received) - self._body_bytes)
+            self._hold_head(max(self._head.unfinished_size - UNCHARGED_HEAD_SIZE, 0))
+
+    def _hold_head(self, size: int) -> None:
+        """Change the number of bytes that are reserved for the head. Raises `ResponsesTooLargeError`."""
+        growth = size - self._held_head_bytes
+        if growth > 0:
+            self._reserve(growth)
+        else:
+            BUFFERED_RESPONSES.release(-growth)
+            self._held_bytes += growth
+        self._held_head_bytes = size
+
+    def _reserve(self, size: int) -> None:
+        """Reserve bytes for what is held. Raises `ResponsesTooLargeError`."""
+        if not BUFFERED_RESPONSES.reserve_for(self, size):
+            raise ResponsesTooLargeError
+        self._held_bytes += size
+        BUFFERED_RESPONSES.holders.add(self)
 
     @property
     def held_bytes(self) -> int:
-        """See `BudgetHolder`: the bytes of rows that are buffered."""
+        """See `BudgetHolder`: the bytes of buffered rows and of an unfinished header field."""
         return self._held_bytes
 
     def give_up_bytes(self) -> None:
-        """See `BudgetHolder`: drop the rows, and end the exchange, whose result is no longer complete."""
+        """See `BudgetHolder`: drop what is held, and end the exchange, whose result is no longer complete."""
         self.core.counters.add("clickhouse.results_dropped")
-        self._is_dropped = True
         self.close()
         self._on_give_up()
 
     def close(self) -> None:
-        """Drop the buffered rows, and return their bytes to the budget."""
+        """Drop the buffered rows and what the parser holds, and return their bytes to the budget."""
         self.buffered.clear()
-        BUFFERED_RESULTS.release(self._held_bytes)
-        self._held_bytes = 0
-        BUFFERED_RESULTS.holders.discard(self)
+        self._parser = None  # it refers to this object, which would be freed only by a garbage collection
+        BUFFERED_RESPONSES.release(self._held_bytes)
+        self._held_bytes = self._held_head_bytes = 0
+        BUFFERED_RESPONSES.holders.discard(self)
 
     def allows_reuse(self) -> bool:
         """Return whether the connection may be used for a further exchange."""
-        return self.is_complete and not self._has_surplus and self._parser.should_keep_alive()
+        if self._parser is None or not self.is_complete:
+            return False
+        return not self._has_surplus and self._parser.should_keep_alive()
 
     def result(self) -> EngineResult:
         """Return the outcome of the attempt after a complete response."""
@@ -111,15 +152,19 @@
         self._is_foreign = False
         self.status = self.exception_code = 0
         self.exception_tag = b""
+        self._head.restart()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle one header field; progress arrives in headers while the query runs. Raises `ValueError`."""
         if self.is_complete:
             return
+        self._head.end_field()
         name = name.lower()
         if name == b"x-clickhouse-exception-code":
             self.exception_code = int(value)
         elif name == b"x-clickhouse-exception-tag":
+            if len(value) > MAX_EXCEPTION_TAG_SIZE:
+                raise ValueError("exception tag is too long")
             self.exception_tag = b"\r\n__exception__\r\n" + value
         elif name == b"x-clickhouse-query-id":
             self._is_foreign = value.decode("latin-1") != self.attempt.query.id
@@ -135,11 +180,13 @@
 
     def on_headers_complete(self) -> None:
         """Store the HTTP status."""
-        if not self.is_complete:
+        if not self.is_complete and self._parser is not None:
             self.status = self._parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
         """Handle a part of the body: rows, or the text of an error. Raises `ValueError`."""
+        self._body_bytes += len(body)
+        self._head.restart()
         if self.is_complete or self._is_foreign:
             return
         if self.status != 200 or self.exception_code:
@@ -168,10 +215,7 @@
             return
         if len(self.buffered) + len(rows) > MAX_RESULT_SIZE:
             raise ValueError(f"result that cannot be streamed exceeds {MAX_RESULT_SIZE} bytes")
-        if not BUFFERED_RESULTS.reserve_for(self, len(rows)):
-            raise ValueError("buffered results together hold too much")
-        self._held_bytes += len(rows)
-        BUFFERED_RESULTS.holders.add(self)
+        self._reserve(len(rows))
         self.buffered += rows
 
     def on_message_complete(self) -> None:
--- a/cypressledge/service.py
+++ b/cypressledge/service.py
@@ -10,7 +10,7 @@
 from cypressledge.broker.core import BrokerCore
 from cypressledge.config import Config, ConfigError, Limits
 from cypressledge.net.admin_api import AdminApi
-from cypressledge.net.clickhouse.engine_response import BUFFERED_RESULTS
+from cypressledge.net.clickhouse.engine_response import BUFFERED_RESPONSES
 from cypressledge.net.clickhouse.frontend import ClickHouseFrontend
 from cypressledge.net.clickhouse.transport import ClickHouseTransport
 from cypressledge.net.dns_sd import DnsSdPoller
@@ -25,7 +25,7 @@
 DESCRIPTORS_PER_ADMIN = 32  # divisor: 1/32 of the descriptors may be admin connections
 DESCRIPTORS_PER_CLIENT = 10  # divisor: 1/10 of the descriptors may be client connections
 MEMORY_SHARE_OF_BODIES = 8  # divisor: request bodies may use 1/8 of the spare memory
-MEMORY_SHARE_OF_RESULTS = 8  # divisor: buffered results may use 1/8 of the spare memory
+MEMORY_SHARE_OF_RESPONSES = 8  # divisor: buffered responses may use 1/8 of the spare memory
 
 
 def _tenant_names(tenants: Iterable[Mapping[str, Any]]) -> set[str]:
@@ -75,7 +75,7 @@
             admins = limits.max_sockets // DESCRIPTORS_PER_ADMIN
             self._admin.server.listener.max_connections = min(MAX_ADMIN_CONNECTIONS, admins)
         REQUEST_BODIES.limit = limits.spare_memory // MEMORY_SHARE_OF_BODIES
-        BUFFERED_RESULTS.limit = limits.spare_memory // MEMORY_SHARE_OF_RESULTS
+        BUFFERED_RESPONSES.limit = limits.spare_memory // MEMORY_SHARE_OF_RESPONSES
 
     def check_applicable(self, settings: ServiceConfig) -> None:
         """Raise `ConfigError` for a change that cannot be applied without a restart."""
--- a/tests/net/clickhouse/test_clickhouse_memory_limits.py
+++ b/tests/net/clickhouse/test_clickhouse_memory_limits.py
@@ -15,6 +15,7 @@
 ENDLESS_ANSWERS = 12
 MAX_GROWTH = 12 << 20  # bytes; what the spare memory, and the answers in Python's own forms, can take
 PART = b"0123456789\tx\ty\n" * 4096
+PART_OF_FIELD = b"x" * len(PART)
 
 
 def peak_memory(pid):
@@ -55,14 +56,27 @@
 
     def test_endless_answers_that_are_buffered_take_a_limited_part_of_the_memory(self):
         """Regression: each answer to a client that takes no stream could take 8 MB, with no limit for all."""
+        self.check_endless_answers(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n")
+
+    def test_header_fields_of_engines_that_never_end_take_a_limited_part_of_the_memory(self):
+        """Regression: the parser held a header field of an answer until the memory limit was passed."""
+        self.check_endless_answers(b"HTTP/1.1 200 OK\r\nX-ClickHouse-Summary: ", PART_OF_FIELD)
+
+    def test_trailers_of_engines_that_never_end_take_a_limited_part_of_the_memory(self):
+        """Regression: as with header fields, behind the last chunk."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.check_endless_answers(head + b"%x\r\n%s\r\n0\r\nX: " % (len(ROW), ROW), PART_OF_FIELD)
+
+    def check_endless_answers(self, head, part=PART):
+        """Check that answers of `head` and endless parts take a limited part of the memory."""
 
         def answer_without_end(engine, send, params, statement):
             if b"sound" in statement:
                 send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(ROW), ROW))
                 return
-            send(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n")
+            send(head)
             for _ in range(100):
-                send(PART)
+                send(part)
             engine.closed.wait(WAIT)
 
         engine = self.engine(answer_without_end, kind=FakeClickHouseEngine)
