Never reject a load without a client's key once it may have run

Cause: the query id serves as the key of such loads. The decisions may reject a request whose key all engines know, and nobody knew that the client does not know this one.

Change: Query.repeats says whose the key is, and the ledger turns such a rejection into a failure once an attempt may have been executed. Related: faults of attempts that never ran are not what a failed request reports; 503 is kept for rejections; an HTTP engine's 504, and a refusal after progress, count as errors.

The recorded answer "an engine's error on a load" held the fault (503 with Retry-After after three errors, no token): it is the engine's error now, and a second one, with a token, holds the old text.

--- a/cypressledge/broker/request_ledger.py
+++ b/cypressledge/broker/request_ledger.py
@@ -211,7 +211,8 @@
         self._counters.add(f"attempt.{outcome.name.lower()}")
         if outcome is not c.Outcome.OK:
             self._log.attempt_ended(attempt, outcome)
-        request.last_fault = fault or request.last_fault
+        if attempt.may_have_been_executed:  # the fault of a request that fails must not say "not executed"
+            request.last_fault = fault or request.last_fault
         self._answer_from_attempt(attempt, outcome, rows, fault)
         latency = monotonic_us() - attempt.sent_at
         if self.observer is not None:
@@ -246,10 +247,10 @@
         request = self.requests.get(action.request)
         if request is None or request.is_concluded:
             return
-        if request.streaming_attempt is None:
+        if request.may_be_rejected:
             self._answer_rejected(request, action.reason)
-        else:  # rows were sent, so a rejection, which states that nothing was executed, would be wrong
-            self._answer_failed(request, action.reason, DEADLINE_FAULT)
+        else:
+            self._answer_failed(request, action.reason, request.last_fault or DEADLINE_FAULT)
 
     def _fail_request(self, action: c.FailRequest) -> None:
         request = self.requests.get(action.request)
--- a/cypressledge/broker/requests.py
+++ b/cypressledge/broker/requests.py
@@ -5,6 +5,7 @@
 
 import re
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from typing import Protocol
 
 from cypressledge.decisions import contract as c
@@ -14,6 +15,13 @@
 MAX_SEND_DELAY = 500_000
 
 
+class Repeats(Enum):
+    """Who may repeat a query that may have been executed."""
+
+    AS_ITS_CLASS = auto()  # the broker and the client, as the query's class allows
+    BY_BROKER = auto()  # as its class allows, but only the broker: the client does not know the key
+
+
 @dataclass(slots=True)
 class Query:
     """A client's query, independent of the protocol by which it was received."""
@@ -29,6 +37,7 @@
     memory_mb: float = 0.0  # MB; estimated memory; 0: unknown
     table_group: int = 0
     is_client_retry: bool = False
+    repeats: Repeats = Repeats.AS_ITS_CLASS
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +126,16 @@
     is_concluded: bool = False  # the request has been answered, or needs no answer
     client_disconnected: bool = False
     streaming_attempt: "Attempt | None" = None  # rows of this attempt were sent: only it completes the answer
-    last_fault: EngineFault | None = None
+    last_fault: EngineFault | None = None  # of the last attempt that may have been executed
+
+    @property
+    def may_be_rejected(self) -> bool:
+        """Whether the client may be told that a repeat is harmless, if the class of its query allows that."""
+        if self.streaming_attempt is not None:
+            return False
+        if self.query.repeats is Repeats.AS_ITS_CLASS:
+            return True
+        return not any(attempt.may_have_been_executed for attempt in self.attempts)
 
 
 @dataclass(slots=True, eq=False)
@@ -141,6 +159,11 @@
         """Whether the attempt is open and a client still waits for the answer."""
         return self.is_open and not (self.request.is_concluded or self.request.client_disconnected)
 
+    @property
+    def may_have_been_executed(self) -> bool:
+        """Whether an engine may have executed the attempt; so it is while its end has not been reported."""
+        return self.outcome not in c.NEVER_EXECUTED
+
     def may_be_sent(self, now: int) -> bool:
         """Return whether the attempt is still awaited and its decision is not too old at `now`.
 
--- a/cypressledge/net/clickhouse/engine_response.py
+++ b/cypressledge/net/clickhouse/engine_response.py
@@ -8,7 +8,7 @@
 import httptools
 
 from cypressledge.broker.core import BrokerCore
-from cypressledge.broker.requests import DEADLINE_FAULT, Attempt, EngineFault
+from cypressledge.broker.requests import Attempt, EngineFault
 from cypressledge.decisions.contract import Outcome, ProgressKind
 from cypressledge.net.byte_budget import ByteBudget
 from cypressledge.net.http_head import HeadLimits, HeadMeter
@@ -64,6 +64,7 @@
         self.is_complete = False
         self._is_foreign = False  # the response that is being parsed names another query
         self._has_surplus = False  # something followed the complete response
+        self._has_progressed = False  # the engine has reported that it reads rows
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)  # None: closed
 
     def feed(self, received: bytes) -> None:
@@ -134,10 +135,8 @@
             return EngineResult(Outcome.OK)
         text = self.buffered.decode("utf-8", "replace").strip() or f"engine answered {self.status}"
         fault = EngineFault(text, self.exception_code, self.status if self.status >= 400 else 500)
-        if self.status == 503 and self.exception_code in NEVER_EXECUTED_CODES:
+        if self.status == 503 and self.exception_code in NEVER_EXECUTED_CODES and not self._has_progressed:
             return EngineResult(Outcome.REJECTED, fault)
-        if self.status == 504:
-            return EngineResult(Outcome.NOT_SENT, DEADLINE_FAULT)
         if self.status in FINAL_STATUSES:
             fault = EngineFault(text, self.exception_code, self.status, final=True)
         return EngineResult(Outcome.ERROR, fault)
@@ -176,6 +175,7 @@
         total = int(progress.get("total_rows_to_read") or 0)
         if total > 0:
             fraction = min(int(progress.get("read_rows") or 0) / total, 1.0)
+            self._has_progressed |= fraction > 0
             self.core.ledger.attempt_progressed(self.attempt, ProgressKind.PROGRESS, fraction)
 
     def on_headers_complete(self) -> None:
--- a/cypressledge/net/clickhouse/query_parser.py
+++ b/cypressledge/net/clickhouse/query_parser.py
@@ -5,7 +5,7 @@
 import secrets
 
 from cypressledge.broker.core import BrokerCore
-from cypressledge.broker.requests import CLIENT_KEY, Query
+from cypressledge.broker.requests import CLIENT_KEY, Query, Repeats
 from cypressledge.clock import monotonic_us
 from cypressledge.decisions.contract import Idempotency
 from cypressledge.net.clickhouse.errors import ClickHouseError, ErrorCode
@@ -61,8 +61,10 @@
         class_index = self._class_index(request, text)
         class_settings = self.core.settings.classes[class_index]
         query_id, key = _query_id_and_key(request)
+        repeats = Repeats.AS_ITS_CLASS
         if class_settings.idempotency is Idempotency.WITH_KEY and not key:
-            key = query_id  # engines must recognise the broker's retries, even if the client sends no token
+            # Engines must recognise the broker's retries, even if the client sends no token.
+            key, repeats = query_id, Repeats.BY_BROKER
         seconds = _number(request, "max_execution_time")
         longest = class_settings.deadline
         return Query(
@@ -77,6 +79,7 @@
             memory_mb=_number(request, "memory_mb"),
             table_group=table_group(text, escapes=True),
             is_client_retry=request.params.get("client_retry") == "1",
+            repeats=repeats,
         )
 
     def _class_index(self, request: HttpRequest, text: str) -> int:
--- a/cypressledge/net/clickhouse/reply.py
+++ b/cypressledge/net/clickhouse/reply.py
@@ -1,6 +1,7 @@
 """The answer to one query over HTTP, to which the core passes rows and errors."""
 
 import math
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from cypressledge.broker.requests import EngineFault, Query, Request
@@ -90,5 +91,7 @@
             self.frontend.counters.add("clickhouse.broken_streams")
             self.exchange.abort()
         else:
-            code = fault.code or ErrorCode.NETWORK_ERROR
-            answer_error(self.exchange, code, fault.status, fault.text, self._id_header())
+            code, status = fault.code or ErrorCode.NETWORK_ERROR, fault.status
+            if status == HTTPStatus.SERVICE_UNAVAILABLE:  # in an answer, it means that nothing was executed
+                code, status = ErrorCode.NETWORK_ERROR, HTTPStatus.INTERNAL_SERVER_ERROR
+            answer_error(self.exchange, code, status, fault.text, self._id_header())
--- /dev/null
+++ b/tests/net/clickhouse/test_clickhouse_possible_executions.py
@@ -0,0 +1,65 @@
+"""ClickHouse interface: what may have run is never answered as if a repeat by the client were harmless."""
+
+from tests.fakes.fake_clickhouse_engine import FakeClickHouseEngine, answer_exception
+from tests.net.clickhouse.clickhouse_test_case import ClickHouseTestCase
+
+INSERT = b"INSERT INTO sales_17.ledger VALUES (1)"
+TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+refuse = answer_exception(503, 202, b"Code: 202. DB::Exception: full")
+
+
+def run_and_lose_answer(engine, send, params, statement):
+    """Execute the statement, and close the connection without an answer."""
+    raise ConnectionResetError
+
+
+class PossibleExecutions(ClickHouseTestCase):
+    def answer_to_insert(self, *plays, **params):
+        """Return status and headers of an INSERT whose attempts get these answers, the last one again."""
+
+        def play(engine, send, *request):
+            plays[min(len(engine.asked), len(plays)) - 1](engine, send, *request)
+
+        engine = self.engine(play, kind=FakeClickHouseEngine)
+        self.start_service(engine)
+        status, headers, _ = self.query(INSERT, **params)
+        assert len(engine.asked) >= len(plays)
+        return status, headers
+
+    def check_failed(self, *plays):
+        """Check that the answer to an INSERT is an error, and no rejection."""
+        status, headers = self.answer_to_insert(*plays)
+        assert status in (500, 504)
+        assert headers["Retry-After"] is None
+        assert headers["X-ClickHouse-Exception-Code"] != "202"
+
+    def test_an_insert_without_a_token_that_may_have_run_is_not_rejected(self):
+        """Regression: it was rejected, as the broker's own key counted as one of its client."""
+        self.check_failed(run_and_lose_answer)
+
+    def test_an_insert_with_a_token_of_its_client_may_be_rejected(self):
+        status, headers = self.answer_to_insert(run_and_lose_answer, insert_deduplication_token=TOKEN)
+        assert (status, headers["Retry-After"]) == (503, "1")
+
+    def test_an_insert_that_never_ran_is_rejected(self):
+        status, headers = self.answer_to_insert(refuse)
+        assert (status, headers["Retry-After"]) == (503, "1")
+
+    def test_a_refusal_behind_a_lost_answer_is_not_what_the_client_is_told(self):
+        """Regression: the refusal of one engine was the answer for what another engine may have executed."""
+        self.check_failed(run_and_lose_answer, refuse)
+        self.check_failed(refuse, run_and_lose_answer, refuse)
+
+    def test_a_gateway_timeout_does_not_prove_that_nothing_ran(self):
+        """Regression: HTTP 504 counted as never sent, as in the line protocol, where it has that meaning."""
+        self.check_failed(answer_exception(504, 0, b"gateway timeout"))
+
+    def test_a_refusal_after_progress_does_not_prove_that_nothing_ran(self):
+        def refuse_after_progress(engine, send, params, statement):
+            send(
+                b"HTTP/1.1 503 X\r\nX-ClickHouse-Exception-Code: 202\r\n"
+                b'X-ClickHouse-Progress: {"read_rows":"5","total_rows_to_read":"9"}\r\n'
+                b"Content-Length: 4\r\n\r\nfull"
+            )
+
+        self.check_failed(refuse_after_progress)
--- a/tests/recordings/wire_clickhouse.py
+++ b/tests/recordings/wire_clickhouse.py
@@ -81,9 +81,10 @@
     messages["clickhouse: an engine's own error"] = broker.http("/?query_id=e1")
     messages["jsonrpc: failed"] = answers(broker, call("lookup", 5, GOOD))
     broker.clickhouse_engine.play = answer_exception(500, 241, b"memory is out")
-    messages["clickhouse: an engine's error on a load"] = broker.http(
-        "/?query_id=e2&workload=order-load", b"INSERT INTO t VALUES (1)"
-    )
+    for title, token in (("a load", ""), ("a load with a token", "&insert_deduplication_token=k2")):
+        messages[f"clickhouse: an engine's error on {title}"] = broker.http(
+            f"/?query_id=e2&workload=order-load{token}", b"INSERT INTO t VALUES (1)"
+        )
     broker.clickhouse_engine.play = break_after_first_rows
     messages["clickhouse: broken in the middle of the rows"] = broker.http("/?query_id=b1")
     broker.clickhouse_engine.play = answer_with_tagged_exception
