Take a statement over HTTP for a read only if its text shows that it is one

Cause: a write was known by its first word out of seven; all else was a read.

Change: statement_kind tells reads, INSERTs and other statements; what is not surely a read is a load, needs POST, and is killed by id. Engines drop repeats of INSERTs only, so other writes, and INSERTs in a class without keys, are not sent again once they may have run: the ledger ends the request with that attempt (Repeats.NOBODY).

--- a/cypressledge/broker/attempt_dispatcher.py
+++ b/cypressledge/broker/attempt_dispatcher.py
@@ -94,8 +94,8 @@
         if request is None or action.attempt >= len(request.attempts):
             return
         attempt = request.attempts[action.attempt]
-        if request.streaming_attempt is attempt and not request.is_concluded:
-            return
+        if not request.is_concluded and (request.streaming_attempt is attempt or attempt.is_last_allowed):
+            return  # no other attempt could complete the answer
         self._counters.add(f"cancelled.{action.reason}")
         if attempt.is_open and action.reason is not c.Reason.REQUEST_FINISHED:
             self._log.attempt_cancelled(attempt, action.reason)
--- a/cypressledge/broker/request_ledger.py
+++ b/cypressledge/broker/request_ledger.py
@@ -271,7 +271,7 @@
             return
         if outcome is c.Outcome.OK:
             self._complete(request, rows)
-        elif request.streaming_attempt is attempt or (fault and fault.final):
+        elif request.streaming_attempt is attempt or (fault and fault.final) or attempt.is_last_allowed:
             self._fail(request, fault or EngineFault(f"engine: {outcome.name.lower()}"))
 
     def _answer_rejected(self, request: Request, reason: c.Reason) -> None:
--- a/cypressledge/broker/requests.py
+++ b/cypressledge/broker/requests.py
@@ -20,6 +20,7 @@
 
     AS_ITS_CLASS = auto()  # the broker and the client, as the query's class allows
     BY_BROKER = auto()  # as its class allows, but only the broker: the client does not know the key
+    NOBODY = auto()  # whatever its class allows: it may write, and engines do not recognise a repeat
 
 
 @dataclass(slots=True)
@@ -164,6 +165,11 @@
         """Whether an engine may have executed the attempt; so it is while its end has not been reported."""
         return self.outcome not in c.NEVER_EXECUTED
 
+    @property
+    def is_last_allowed(self) -> bool:
+        """Whether no attempt may follow: this one may have been executed, and nobody may repeat the query."""
+        return self.query.repeats is Repeats.NOBODY and self.may_have_been_executed
+
     def may_be_sent(self, now: int) -> bool:
         """Return whether the attempt is still awaited and its decision is not too old at `now`.
 
--- a/cypressledge/net/clickhouse/engine_exchange.py
+++ b/cypressledge/net/clickhouse/engine_exchange.py
@@ -11,7 +11,7 @@
 from cypressledge.decisions.contract import Outcome
 from cypressledge.net.clickhouse.engine_response import EngineResponse, EngineResult
 from cypressledge.net.clickhouse.errors import ErrorCode
-from cypressledge.net.clickhouse.statements import WRITE_STATEMENT, quote
+from cypressledge.net.clickhouse.statements import StatementKind, quote, statement_kind
 from cypressledge.net.receive_buffer import ReceiveBuffer
 
 if TYPE_CHECKING:
@@ -64,7 +64,8 @@
         self.cancelled = True
         self._shut_socket()
         is_running = self.sent and not self.response.is_complete
-        if is_running and WRITE_STATEMENT.match(self.attempt.query.statement.decode("latin-1")):
+        statement = self.attempt.query.statement.decode("latin-1")
+        if is_running and statement_kind(statement) is not StatementKind.READ:
             spawn(self._kill)
 
     def _shut_socket(self) -> None:
--- a/cypressledge/net/clickhouse/query_parser.py
+++ b/cypressledge/net/clickhouse/query_parser.py
@@ -9,7 +9,12 @@
 from cypressledge.clock import monotonic_us
 from cypressledge.decisions.contract import Idempotency
 from cypressledge.net.clickhouse.errors import ClickHouseError, ErrorCode
-from cypressledge.net.clickhouse.statements import FORMAT_CLAUSE, SUPPORTED_FORMATS, WRITE_STATEMENT
+from cypressledge.net.clickhouse.statements import (
+    FORMAT_CLAUSE,
+    SUPPORTED_FORMATS,
+    StatementKind,
+    statement_kind,
+)
 from cypressledge.net.http_exchange import HttpRequest
 from cypressledge.sql import table_group
 
@@ -56,15 +61,12 @@
         now = monotonic_us()
         statement = _statement(request)
         text = statement.decode("utf-8", "replace")
-        if request.method == "GET" and WRITE_STATEMENT.match(text):
-            raise ClickHouseError(ErrorCode.READONLY, "Cannot execute query in readonly mode: use POST")
-        class_index = self._class_index(request, text)
+        kind = statement_kind(text)
+        _check_method_and_format(request, text, kind)
+        class_index = self._class_index(request, kind)
         class_settings = self.core.settings.classes[class_index]
-        query_id, key = _query_id_and_key(request)
-        repeats = Repeats.AS_ITS_CLASS
-        if class_settings.idempotency is Idempotency.WITH_KEY and not key:
-            # Engines must recognise the broker's retries, even if the client sends no token.
-            key, repeats = query_id, Repeats.BY_BROKER
+        query_id, client_key = _query_id_and_key(request)
+        needs_key = class_settings.idempotency is Idempotency.WITH_KEY
         seconds = _number(request, "max_execution_time")
         longest = class_settings.deadline
         return Query(
@@ -74,20 +76,21 @@
             tenant=tenant,
             statement=statement,
             deadline=now + (min(int(seconds * 1e6), longest) if seconds else longest),
-            key=key,
+            # Engines must recognise the broker's retries, even if the client sends no token.
+            key=client_key or (query_id if needs_key else ""),
             cost=int(_number(request, "cost_ms") * 1000),
             memory_mb=_number(request, "memory_mb"),
             table_group=table_group(text, escapes=True),
             is_client_retry=request.params.get("client_retry") == "1",
-            repeats=repeats,
+            repeats=_repeats(kind, class_settings.idempotency, bool(client_key)),
         )
 
-    def _class_index(self, request: HttpRequest, text: str) -> int:
-        """Return the class named by `workload`; without that parameter, loads are recognised by statement."""
+    def _class_index(self, request: HttpRequest, kind: StatementKind) -> int:
+        """Return the class named by `workload`; without it, all that is not surely a read is a load."""
         name = request.params.get("workload")
         if name is None:
             loads = [index for index, spec in enumerate(self.core.settings.classes) if spec.is_load]
-            return loads[0] if loads and WRITE_STATEMENT.match(text) else 0
+            return loads[0] if loads and kind is not StatementKind.READ else 0
         if name not in self.classes:
             raise ClickHouseError(ErrorCode.BAD_ARGUMENTS, f"Unknown workload {name[:MAX_NAME_IN_ERROR]}")
         return self.classes[name]
@@ -134,13 +137,27 @@
     statement = query + b"\n" + request.body if query and request.body else query or request.body
     if not statement.strip():
         raise ClickHouseError(ErrorCode.SYNTAX_ERROR, "Syntax error: empty query")
-    text = (query or request.body).decode("utf-8", "replace")
-    format_clause = FORMAT_CLAUSE.search(text)
-    if format_clause and not WRITE_STATEMENT.match(text):
-        _check_format(format_clause[1])
     return statement
 
 
+def _check_method_and_format(request: HttpRequest, text: str, kind: StatementKind) -> None:
+    """Reject a write by GET, and formats of results that are not supported. Raises `ClickHouseError`."""
+    if request.method == "GET" and kind is not StatementKind.READ:
+        raise ClickHouseError(ErrorCode.READONLY, "Cannot execute query in readonly mode: use POST")
+    format_clause = FORMAT_CLAUSE.search(request.params.get("query") or text)
+    if format_clause and kind is not StatementKind.INSERT:  # an INSERT names the format of its data
+        _check_format(format_clause[1])
+
+
+def _repeats(kind: StatementKind, idempotency: Idempotency, client_has_key: bool) -> Repeats:
+    """Return who may repeat a statement, where that is less than its class allows."""
+    if kind is StatementKind.READ or idempotency is Idempotency.NOT_IDEMPOTENT:
+        return Repeats.AS_ITS_CLASS
+    if kind is StatementKind.INSERT and idempotency is Idempotency.WITH_KEY:
+        return Repeats.AS_ITS_CLASS if client_has_key else Repeats.BY_BROKER
+    return Repeats.NOBODY
+
+
 def _number(request: HttpRequest, name: str) -> float:
     try:
         value = float(request.params.get(name) or 0)
--- a/tests/net/clickhouse/test_clickhouse_possible_executions.py
+++ b/tests/net/clickhouse/test_clickhouse_possible_executions.py
@@ -26,6 +26,14 @@
         assert len(engine.asked) >= len(plays)
         return status, headers
 
+    def check_executed_once(self, statement, **params):
+        """Check that a statement whose answer is lost is sent once, and fails."""
+        engine = self.engine(run_and_lose_answer, kind=FakeClickHouseEngine)
+        self.start_service(engine)
+        status, headers, _ = self.query(statement, **params)
+        assert (status, headers["Retry-After"]) == (500, None)
+        assert len(engine.asked) == 1
+
     def check_failed(self, *plays):
         """Check that the answer to an INSERT is an error, and no rejection."""
         status, headers = self.answer_to_insert(*plays)
@@ -63,3 +71,31 @@
             )
 
         self.check_failed(refuse_after_progress)
+
+    def test_an_insert_behind_common_table_expressions_is_a_load_with_a_key(self):
+        """Regression: it counted as a read, and after a lost answer it was applied again without a key."""
+        engine = self.engine(run_and_lose_answer, kind=FakeClickHouseEngine)
+        self.start_service(engine)
+        status = self.query(b"WITH u AS (SELECT 1) INSERT INTO sales_17.t SELECT * FROM u", query_id="q1")[0]
+        assert status == 500
+        keys = {(params["workload"], params["insert_deduplication_token"]) for params, *_ in engine.asked}
+        assert keys == {("order-load", "q1")}
+
+    def test_a_statement_that_is_not_surely_a_read_is_not_repeated(self):
+        """Regression: it counted as a read and was repeated; swapped twice, tables are as before."""
+        self.check_executed_once(b"EXCHANGE TABLES sales_17.a AND sales_17.b")
+
+    def test_a_token_does_not_make_other_statements_than_inserts_repeatable(self):
+        self.check_executed_once(b"ALTER TABLE t UPDATE a = a + 1 WHERE 1", insert_deduplication_token=TOKEN)
+
+    def test_a_write_in_a_class_of_reads_is_not_repeated(self):
+        """Regression: the class that a client had named was repeated freely, whatever the statement."""
+        for statement in (INSERT, b"WITH u AS (SELECT 1) INSERT INTO sales_17.t SELECT * FROM u"):
+            with self.subTest(statement):
+                self.check_executed_once(statement, workload="report")
+
+    def test_a_read_is_repeated(self):
+        engine = self.engine(run_and_lose_answer, kind=FakeClickHouseEngine)
+        self.start_service(engine)
+        self.query(b"WITH u AS (SELECT 1) SELECT * FROM u")
+        assert len(engine.asked) > 1
--- a/tests/test_sql.py
+++ b/tests/test_sql.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from cypressledge.net.clickhouse.statements import FORMAT_CLAUSE, WRITE_STATEMENT
+from cypressledge.net.clickhouse.statements import FORMAT_CLAUSE, StatementKind, statement_kind
 from cypressledge.sql import table_group
 
 
@@ -27,7 +27,9 @@
         values = "(1,'abc',2.5)," * 300_000
         assert table_group(f"INSERT INTO plain.t VALUES {values}") == 0
         assert table_group(f"INSERT INTO sales_3.t VALUES {values}") == 3
-        assert WRITE_STATEMENT.match("/**/" * 10000 + "x") is None
-        assert WRITE_STATEMENT.match("/**/ /* a */ -- b\n insert")
+        assert statement_kind("/**/" * 10000 + "x") is StatementKind.OTHER
+        assert statement_kind("/**/ /* a */ -- b\n insert") is StatementKind.INSERT
+        assert statement_kind("WITH a AS (" * 300_000) is StatementKind.OTHER
+        assert statement_kind("SELECT ';" * 300_000) is StatementKind.OTHER
         assert FORMAT_CLAUSE.search("SELECT 1 FORMAT x" + " " * 300000 + "y") is None
         assert FORMAT_CLAUSE.search("SELECT 1 FORMAT TSV ; ")[1] == "TSV"
