Limit and charge the heads of HTTP requests, and the values of JSON-RPC messages

Cause: heads were limited in bytes, not in fields, and stood under no budget, also while their request was queued or ran. A JSON message of small values takes forty times its text.

Change: HeadMeter, as for engines' responses: 100 fields, and what is stored is charged to the budget of pending requests (before: bodies only), also without the hosted service. The largest gives up; an incomplete head then ends the input with 503. Content is freed once a request is handled. JSON-RPC messages may have 1,000 values.

--- a/cypressledge/net/http_exchange.py
+++ b/cypressledge/net/http_exchange.py
@@ -23,6 +23,13 @@
     keep_alive: bool = True
     has_length: bool = False  # it has a Content-Length or Transfer-Encoding header
     rejection: HTTPStatus | None = None  # answered with this status, and not handled
+    charged_bytes: int = 0  # reserved for it until it is handled
+
+    def drop_content(self, rejection: HTTPStatus | None = None) -> None:
+        """Free the memory of the head and the body; with `rejection`, the request is rejected in its turn."""
+        self.headers, self.params, self.body, self.path = {}, {}, b"", ""
+        if rejection is not None:
+            self.rejection, self.charged_bytes = rejection, 0
 
 
 class HttpExchange:
--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -11,9 +11,11 @@
 
 from cypressledge.broker.metrics import Counters, log
 from cypressledge.clock import monotonic_us
+from cypressledge.config import Limits
 from cypressledge.net.byte_budget import ByteBudget
 from cypressledge.net.connection_registry import ConnectionRegistry, EvictionPriority, eviction_priority
 from cypressledge.net.http_exchange import HttpExchange, HttpRequest
+from cypressledge.net.http_head import HeadLimitError, HeadLimits, HeadMeter
 from cypressledge.net.listener import Listener
 from cypressledge.net.receive_buffer import ReceiveBuffer
 from cypressledge.net.socket_io import (
@@ -32,14 +34,17 @@
 from cypressledge.net.socket_writer import SocketWriter
 
 READ_SIZE = 16 << 10  # bytes per read; the parser consumes all of them
-MAX_HEAD_SIZE = 64 << 10  # bytes without a body's part: request target and header fields, or trailers
+# Of the request target, the header fields and the trailers.
+HEAD_LIMITS = HeadLimits(max_size=64 << 10, max_field_size=64 << 10, max_fields=100)
+MAX_PARAMETERS = 100  # in the query of a request target
+UNCHARGED_HEAD_SIZE = 4096  # bytes of memory that the head of each request may take without a reservation
 PARSED_SIZE = 512  # bytes that are parsed at once: they contain few requests
 MAX_PIPELINED = 4  # requests queued on one connection, beyond which no more bytes are parsed
 RETRY_AFTER = {"Retry-After": "1"}  # seconds; headers of a rejection for lack of memory
 QUEUE_POLL_INTERVAL = 0.02  # seconds between checks whether a request has left the queue
-# Bytes of bodies whose requests are not handled yet, of all connections; default until the configuration is
-# known.
-REQUEST_BODIES = ByteBudget(8 << 20)
+# Bytes of requests that are not handled yet, of all connections; default until the configuration is known.
+PENDING_REQUESTS = ByteBudget(8 << 20)
+MEMORY_SHARE_OF_REQUESTS = 8  # divisor: they may use 1/8 of the spare memory
 SEND_QUEUE_LIMIT = 8 << 20  # bytes per connection
 SEND_TIMEOUT = 60.0  # seconds; maximum duration of one send
 IDLE_TIMEOUT = 30.0  # seconds; maximum idle time between requests
@@ -54,6 +59,21 @@
         self.status = status
 
 
+def limit_pending_requests(limits: Limits) -> None:
+    """Apply the memory limit of the deployment to the requests of all HTTP servers of the process."""
+    PENDING_REQUESTS.limit = limits.spare_memory // MEMORY_SHARE_OF_REQUESTS
+
+
+def _status_of_callback_error(err: httptools.HttpParserCallbackError) -> HTTPStatus:
+    """Return the status to answer with; the parser wraps the exceptions of its callbacks."""
+    cause = err.__context__
+    if isinstance(cause, RequestLimitError):
+        return cause.status
+    if isinstance(cause, HeadLimitError):
+        return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    return HTTPStatus.BAD_REQUEST
+
+
 class HttpServer:
     """HTTP server that passes each complete request to `handle(request, exchange)`, which must not block."""
 
@@ -86,12 +106,14 @@
         self.current: HttpExchange | None = None
         self.closing = False
         self.shutdown_at = 0  # µs; when the broker's side was shut down, 0 if it was not
-        self._held_bytes = 0  # reserved from `REQUEST_BODIES`
+        self._held_bytes = 0  # reserved from `PENDING_REQUESTS`
+        self._parsed_body_bytes = 0  # of the bytes that are being parsed, those of bodies
         self.connected_at = self.last_active_at = monotonic_us()
         self.request_began_at = 0  # µs; first byte of an incomplete request, 0 if there is none
         self.has_requested = False
         self.writer = SocketWriter(sock, SEND_QUEUE_LIMIT, SEND_TIMEOUT, lambda reason: close_socket(sock))
-        self.parser = httptools.HttpRequestParser(self)
+        self._head = HeadMeter(HEAD_LIMITS)
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)  # None: dropped
         self._start_request()
         server.connections.add(self)
 
@@ -122,11 +144,10 @@
                 self._handle_next()
         except RequestLimitError as err:
             self._reject_input(err.status)
+        except HeadLimitError:
+            self._reject_input(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         except httptools.HttpParserCallbackError as err:
-            # The parser wraps exceptions of its callbacks; unwrap a limit error to answer with its status.
-            cause = err.__context__
-            status = cause.status if isinstance(cause, RequestLimitError) else HTTPStatus.BAD_REQUEST
-            self._reject_input(status)
+            self._reject_input(_status_of_callback_error(err))
         except httptools.HttpParserUpgrade:
             # No upgrade is supported. What follows the head cannot be parsed, and a body is a part of that.
             request = self.waiting[-1]
@@ -137,13 +158,33 @@
             self._reject_input(HTTPStatus.BAD_REQUEST)
 
     def _parse(self, received: bytes) -> None:
-        """Parse received bytes. Raises `RequestLimitError` and the parser's errors.
-
-        The parser holds a header field until its end has been received, so its callbacks cannot limit it."""
-        self.head_size += len(received)
+        """Parse received bytes. Raises `RequestLimitError`, `HeadLimitError` and the parser's errors."""
+        if self.parser is None:
+            raise RequestLimitError(HTTPStatus.SERVICE_UNAVAILABLE)
+        self._parsed_body_bytes = 0
         self.parser.feed_data(received)
-        if self.head_size > MAX_HEAD_SIZE:
-            raise RequestLimitError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        self._head.add_parsed(len(received) - self._parsed_body_bytes)
+        if self.request_began_at:
+            self._charge_head()
+
+    def _charge_head(self) -> None:
+        """Reserve memory for what the incomplete request's head has grown by. Raises `RequestLimitError`."""
+        growth = self._head.stored_size - UNCHARGED_HEAD_SIZE - self._charged_head_bytes
+        if growth <= 0 or self.request.rejection is not None:
+            return
+        if self._reserve(growth):
+            self._charged_head_bytes += growth
+            self.request.charged_bytes += growth
+        elif self.parser is None:
+            raise RequestLimitError(HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _reserve(self, size: int) -> bool:
+        """Reserve memory for the incomplete request; return False if this connection gave up what it held."""
+        if not PENDING_REQUESTS.reserve_for(self, size):
+            return False
+        self._held_bytes += size
+        PENDING_REQUESTS.holders.add(self)
+        return True
 
     def _wait_for_queue(self) -> None:
         """Wait until a request can be queued. Raises `ConnectionResetError` if the client closes."""
@@ -213,28 +254,34 @@
 
     @property
     def held_bytes(self) -> int:
-        """See `BudgetHolder`: the bytes of bodies whose requests are not handled yet."""
+        """See `BudgetHolder`: the bytes of requests that are not handled yet."""
         return self._held_bytes
 
     def give_up_bytes(self) -> None:
-        """See `BudgetHolder`: drop the bodies, and reject their requests when their turn comes."""
+        """See `BudgetHolder`: drop the requests' contents, and reject them when their turn comes.
+
+        Behind an incomplete head, whose last field is in the parser, the connection's input ends."""
         self.server.counters.add(f"{self.server.name}.bodies_dropped")
-        is_incomplete = self.request_began_at != 0
-        for request in (*self.waiting, *([self.request] if is_incomplete else [])):
-            request.rejection, request.body = HTTPStatus.SERVICE_UNAVAILABLE, b""
-        self.body.clear()
+        for request in self.waiting:
+            request.drop_content(HTTPStatus.SERVICE_UNAVAILABLE)
+        if self.request_began_at:
+            self.request.drop_content(HTTPStatus.SERVICE_UNAVAILABLE)
+            self.body, self.url = bytearray(), b""
+            if not self._is_head_complete:
+                self.parser = None
         self._release(self._held_bytes)
 
     def _release(self, size: int) -> None:
         self._held_bytes -= size
-        REQUEST_BODIES.release(size)
+        PENDING_REQUESTS.release(size)
         if not self._held_bytes:
-            REQUEST_BODIES.holders.discard(self)
+            PENDING_REQUESTS.holders.discard(self)
 
     def _close(self) -> None:
         if self.current is not None:
             self.current.handle_disconnect()
         self.server.connections.discard(self)
+        self.parser = None  # it refers to this object, which would be freed only by a garbage collection
         self._release(self._held_bytes)
         self.writer.close()
         self.writer.flushed.wait(SEND_TIMEOUT)
@@ -245,7 +292,9 @@
     def _start_request(self) -> None:
         self.request, self.url = HttpRequest(), b""
         self.body = bytearray()  # not a list of parts: a part may be a single byte
-        self.body_size = self.head_size = 0
+        self.body_size = self._charged_head_bytes = 0
+        self._is_head_complete = False
+        self._head.restart()
 
     def on_message_begin(self) -> None:
         """Handle the beginning of a request."""
@@ -257,11 +306,13 @@
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header field."""
+        """Store one header field. Raises `HeadLimitError`."""
+        self._head.end_field()
         self.request.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Check the declared length and answer `Expect`. Raises `RequestLimitError`, `ValueError`."""
+        self._is_head_complete = True
         headers = self.request.headers
         self.request.has_length = "content-length" in headers or "transfer-encoding" in headers
         if int(headers.get("content-length") or 0) > self.server.max_body_size:
@@ -272,22 +323,25 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body. Raises `RequestLimitError`."""
         self.body_size += len(body)
-        self.head_size = 0
+        self._parsed_body_bytes += len(body)
+        self._head.restart()
         if self.body_size > self.server.max_body_size:
             raise RequestLimitError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if self.request.rejection is None and REQUEST_BODIES.reserve_for(self, len(body)):
-            self._held_bytes += len(body)
-            REQUEST_BODIES.holders.add(self)
+        if self.request.rejection is None and self._reserve(len(body)):
+            self.request.charged_bytes += len(body)
             self.body += body
 
     def on_message_complete(self) -> None:
-        """Queue the complete request."""
-        self.request_began_at, self.has_requested, self.head_size = 0, True, 0
+        """Queue the complete request. Raises `ValueError`."""
+        self.request_began_at, self.has_requested = 0, True
         request, target = self.request, urlsplit(self.url.decode("latin-1"))
+        assert self.parser is not None  # it calls this method
         request.method, request.version = self.parser.get_method().decode(), self.parser.get_http_version()
         request.keep_alive, request.body = self.parser.should_keep_alive(), bytes(self.body)
         request.path = unquote(target.path)
-        request.params = dict(parse_qsl(target.query, keep_blank_values=True))
+        request.params = dict(parse_qsl(target.query, keep_blank_values=True, max_num_fields=MAX_PARAMETERS))
+        self.body, self.url = bytearray(), b""
+        self._head.restart()
         self.waiting.append(request)
 
     # Sequence of exchanges
@@ -297,12 +351,13 @@
             return
         request = self.waiting.popleft()
         self.current = HttpExchange(self, request)
-        self._release(len(request.body))
+        self._release(request.charged_bytes)
         if request.rejection is None:
             self._handle(request, self.current)
         else:
             headers = RETRY_AFTER if request.rejection is HTTPStatus.SERVICE_UNAVAILABLE else {}
             self.current.answer(request.rejection, headers, request.rejection.phrase.encode() + b"\n")
+        request.drop_content()  # the exchange may stay open for long
 
     def _handle(self, request: HttpRequest, exchange: HttpExchange) -> None:
         try:
--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -14,7 +14,7 @@
 from cypressledge.clock import monotonic_us
 from cypressledge.net.connection_registry import EvictionPriority, eviction_priority
 from cypressledge.net.jsonrpc.errors import ErrorCode, FramingError, JsonRpcError
-from cypressledge.net.jsonrpc.framing import Frame, FrameReader, SkipReason
+from cypressledge.net.jsonrpc.framing import Frame, FrameReader, SkipReason, parse_message
 from cypressledge.net.jsonrpc.pending_call import PendingCall
 from cypressledge.net.jsonrpc.request_ids import UsedRequestIds
 from cypressledge.net.receive_buffer import BufferLimitError
@@ -266,10 +266,7 @@
     def _process_message(self, frame: Frame) -> None:
         call_id = None
         try:
-            try:
-                message = json.loads(frame.body)
-            except (ValueError, RecursionError):
-                raise JsonRpcError(ErrorCode.PARSE_ERROR, "not JSON") from None
+            message = parse_message(frame.body)
             method, call_id = self._method_and_id(message)
             if frame.skip_reason is not None and method in self.frontend.query_parser.classes:
                 self._reject_skipped(frame.skip_reason, method, call_id, message.get("params"))
--- a/cypressledge/net/jsonrpc/framing.py
+++ b/cypressledge/net/jsonrpc/framing.py
@@ -1,16 +1,19 @@
 """Framing by a `Content-Length` header before each message, as in the Language Server Protocol."""
 
+import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Any
 
-from cypressledge.net.jsonrpc.errors import FramingError
+from cypressledge.net.jsonrpc.errors import ErrorCode, FramingError, JsonRpcError
 from cypressledge.net.jsonrpc.message_outline import MessageOutline
 from cypressledge.net.receive_buffer import ReceiveBuffer
 
 MAX_HEADER_SIZE = 1024  # bytes
 MAX_BODY_SIZE = 512 << 10  # bytes
 MAX_SKIPPED_BODY_SIZE = 8 << 20  # bytes; a larger body is not even read to its end
+MAX_VALUES = 1000  # of one message; each may take a hundred bytes, many times the size of its text
 HEADER_END = b"\r\n\r\n"
 
 
@@ -103,6 +106,18 @@
         return Frame(skipped.outline.text(), skipped.reason)
 
 
+def parse_message(body: bytes) -> Any:
+    """Return the JSON value of a message. Raises `JsonRpcError`.
+
+    Characters that may separate values are counted before; statements contain none, as they are base64."""
+    if body.count(b",") + body.count(b"[") + body.count(b"{") > MAX_VALUES:
+        raise JsonRpcError(ErrorCode.PARSE_ERROR, "too many values in a message")
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError):
+        raise JsonRpcError(ErrorCode.PARSE_ERROR, "not JSON") from None
+
+
 def _content_length(header: bytes) -> int:
     """Return the size of the body that a header announces. Raises `FramingError`."""
     size = None
--- a/cypressledge/net/management.py
+++ b/cypressledge/net/management.py
@@ -12,7 +12,7 @@
 from cypressledge.config import Limits
 from cypressledge.decisions.contract import EngineState
 from cypressledge.net.http_exchange import HttpExchange, HttpRequest
-from cypressledge.net.http_server import HttpServer
+from cypressledge.net.http_server import HttpServer, limit_pending_requests
 from cypressledge.net.socket_io import Address
 
 METRIC_PREFIX = "svc"
@@ -43,6 +43,7 @@
         """Derive the number of concurrent callers from the deployment's limits."""
         callers = max(limits.max_sockets // DESCRIPTORS_PER_CALLER, MIN_CALLERS)
         self.server.listener.max_connections = min(MAX_CALLERS, callers)
+        limit_pending_requests(limits)
 
     def _handle(self, request: HttpRequest, exchange: HttpExchange) -> None:
         request.keep_alive = False  # one call per connection
--- a/cypressledge/service.py
+++ b/cypressledge/service.py
@@ -15,7 +15,7 @@
 from cypressledge.net.clickhouse.transport import ClickHouseTransport
 from cypressledge.net.dns_sd import DnsSdPoller
 from cypressledge.net.engine_naming import EngineNaming
-from cypressledge.net.http_server import REQUEST_BODIES
+from cypressledge.net.http_server import limit_pending_requests
 from cypressledge.service_config import ServiceConfig
 from cypressledge.tenants import Tenants
 
@@ -24,7 +24,6 @@
 MAX_CLIENT_CONNECTIONS = 128  # HTTP connections; fewer if there are not enough descriptors
 DESCRIPTORS_PER_ADMIN = 32  # divisor: 1/32 of the descriptors may be admin connections
 DESCRIPTORS_PER_CLIENT = 10  # divisor: 1/10 of the descriptors may be client connections
-MEMORY_SHARE_OF_BODIES = 8  # divisor: request bodies may use 1/8 of the spare memory
 MEMORY_SHARE_OF_RESPONSES = 8  # divisor: buffered responses may use 1/8 of the spare memory
 
 
@@ -74,7 +73,7 @@
         if self._admin is not None:
             admins = limits.max_sockets // DESCRIPTORS_PER_ADMIN
             self._admin.server.listener.max_connections = min(MAX_ADMIN_CONNECTIONS, admins)
-        REQUEST_BODIES.limit = limits.spare_memory // MEMORY_SHARE_OF_BODIES
+        limit_pending_requests(limits)
         BUFFERED_RESPONSES.limit = limits.spare_memory // MEMORY_SHARE_OF_RESPONSES
 
     def check_applicable(self, settings: ServiceConfig) -> None:
--- a/tests/net/clickhouse/test_clickhouse_memory_limits.py
+++ b/tests/net/clickhouse/test_clickhouse_memory_limits.py
@@ -1,14 +1,12 @@
 """ClickHouse interface: what some clients or engines send does not use up the memory of the others."""
 
-import re
 import socket
-from pathlib import Path
 
 from tests.fakes.fake_clickhouse_engine import FakeClickHouseEngine
 from tests.fakes.fake_engines import ROW
 from tests.fakes.support import WAIT
 from tests.net.clickhouse.clickhouse_test_case import LOGIN, ClickHouseTestCase
-from tests.race_conditions.scenarios import limits
+from tests.race_conditions.scenarios import limits, peak_memory
 
 HEADERS = b"".join(f"{name}: {value}\r\n".encode() for name, value in LOGIN.items())
 SMALL_MEMORY = {"memory_mb": 30}  # 4 MB of spare memory, of which bodies and results may use 1/8 each
@@ -18,12 +16,6 @@
 PART_OF_FIELD = b"x" * len(PART)
 
 
-def peak_memory(pid):
-    """Return the largest resident memory of a process so far, in bytes."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    return int(re.search(r"VmHWM:\s*(\d+) kB", status)[1]) << 10
-
-
 class MemoryLimits(ClickHouseTestCase):
     def test_incomplete_bodies_of_some_clients_cost_no_other_client_its_request(self):
         """Regression: once some bodies had used up the limit of all, whole requests were turned away."""
--- a/tests/race_conditions/scenarios.py
+++ b/tests/race_conditions/scenarios.py
@@ -1,6 +1,7 @@
 """Settings, hooks and measurements shared by the tests of race conditions."""
 
 import copy
+import re
 from pathlib import Path
 
 from cypressledge.lab.site import SETTINGS
@@ -33,6 +34,12 @@
     return {"limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}}
 
 
+def peak_memory(pid):
+    """Return the largest resident memory of a process so far, in bytes."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s*(\d+) kB", status)[1]) << 10
+
+
 def cpu_ticks(pid):
     """Return the processor time that a process has used so far, in clock ticks."""
     return sum(map(int, Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[11:13]))
