Give each connection's input a time slice, and drop what withdrawn requests leave behind

Cause: all messages of a read were handled in one turn, and sleep(0) polls no socket, up to fifty turns. Timers, deadline entries, heap entries, the retry budget's window and the caches by table group kept withdrawn requests until their deadlines, or for good.

Change: TimeSlice, 0.5 ms, then a poll, on both fronts and both engine transports; input behind a close of the client is dropped.

The hook of a race test follows the renamed function (socket_io:sleep -> let_others_run).

--- a/cypressledge/broker/attempt_dispatcher.py
+++ b/cypressledge/broker/attempt_dispatcher.py
@@ -1,6 +1,7 @@
 """Starts, updates and cancels attempts at engines by the actions of the decision module."""
 
 from collections.abc import Callable
+from typing import Any
 
 from cypressledge.broker.engine_registry import EngineRegistry
 from cypressledge.broker.event_loop import EventLoop
@@ -101,6 +102,10 @@
             self._log.attempt_cancelled(attempt, action.reason)
         self.cancel(attempt, c.Outcome.CANCELLED)
 
+    def is_timer_needed(self, callback: Callable[..., object], argument: Any) -> bool:
+        """Return whether a timer is not one of an attempt whose request has been removed."""
+        return callback != self._check_timeout or argument[0] in self._requests
+
     def _check_timeout(self, attempt_key: tuple[int, int]) -> None:
         number, attempt_number = attempt_key
         if (request := self._requests.get(number)) is not None:
--- a/cypressledge/broker/request_ledger.py
+++ b/cypressledge/broker/request_ledger.py
@@ -29,6 +29,7 @@
 
 DEADLINE_GRACE_US = 10_000  # µs after a client's deadline at which the ledger answers instead of the module
 ORDERING_KEY_BYTES = 8  # bytes; size of the hash that replaces a client's key in the module
+MAX_TIMERS_PER_REQUEST = 4  # for each open request; beyond, those of ended requests are removed
 DEFAULT_MAX_OPEN_REQUESTS = 1_000  # requests; limit until the configuration's limits are applied
 DEFAULT_MAX_STATEMENT_BYTES = 4 << 20  # bytes; limit until the configuration's limits are applied
 
@@ -328,3 +329,10 @@
             request.query.statement = b""
             request.reply = None  # type: ignore[assignment]  # never used after the request has been removed
             request.attempts = []
+            self._loop.timers.compact(self._is_timer_needed, MAX_TIMERS_PER_REQUEST * len(self.requests))
+
+    def _is_timer_needed(self, callback: Callable[..., object], argument: object) -> bool:
+        """Return whether a timer is not one of a request that has been removed."""
+        if callback == self._check_deadline:
+            return argument in self.requests
+        return self.attempts.is_timer_needed(callback, argument)
--- a/cypressledge/controlplane/framing.py
+++ b/cypressledge/controlplane/framing.py
@@ -7,7 +7,7 @@
 import errno
 import time
 
-from gevent import Timeout, sleep, socket
+from gevent import Timeout, socket
 
 from cypressledge.controlplane.messages import (
     LENGTH_PREFIX_BYTES,
@@ -22,6 +22,7 @@
 from cypressledge.net.receive_buffer import BufferLimitError, ReceiveBuffer
 from cypressledge.net.socket_io import close_socket, shutdown_write
 from cypressledge.net.socket_writer import SocketWriter
+from cypressledge.net.time_slice import let_others_run
 
 HELLO_TIMEOUT_S = 5.0  # seconds from a connection's start to the end of its first frame
 FRAME_TIMEOUT_S = 30.0  # seconds from a frame's first byte to its last
@@ -116,7 +117,7 @@
         If the previous read filled the buffer, other greenlets run first: the peer may always have more data.
         """
         if self._buffer.was_filled:
-            sleep(0)
+            let_others_run()
         is_new_frame = not len(self._buffer) and not self._body_bytes
         received = None
         try:
--- a/cypressledge/decisions/affinity.py
+++ b/cypressledge/decisions/affinity.py
@@ -20,6 +20,7 @@
 LOAD_ENGINES_FACTOR = 1.6  # engines for a group's loads over the number of its loads that run at once
 LOAD_FREE_SHARE = 0.2  # fraction of the engines that a group's loads do not use
 RUNNING_LOADS_WEIGHT = EWMA_WEIGHT / 2  # weight of one new count in the mean of this broker's running loads
+MAX_CACHED_RANKS = 256  # orders of all engines that are kept
 LOADS_AHEAD_SHARE = 0.75  # fraction of a load's latency objective that the loads ahead of it may take
 
 
@@ -44,12 +45,14 @@
         self._running_loads += RUNNING_LOADS_WEIGHT * (running - self._running_loads)
 
     def end_period(self) -> None:
-        """Decay the request counts; drop groups whose count is at most `REQUEST_COUNT_MIN`."""
+        """Decay the request counts, and drop the groups of which nothing is left."""
         self._request_counts = {
             group: count * REQUEST_COUNT_DECAY
             for group, count in self._request_counts.items()
             if count > REQUEST_COUNT_MIN
         }
+        for engine in self._registry.engines.values():
+            forget_groups_without_loads(engine, self._context.now)
 
     def engines_changed(self) -> None:
         """Discard the cached ranks after a change of the registry."""
@@ -59,6 +62,8 @@
         """Return the ready engines in the order for the token, which is equal at every broker."""
         ranks = self._ranks.get(token)
         if ranks is None:
+            if len(self._ranks) >= MAX_CACHED_RANKS:  # there may be ever new groups
+                self._ranks.clear()
             ranks = sorted(self._registry.ready, key=lambda engine: rank_hash(token, engine.id))
             self._ranks[token] = ranks
         return ranks
@@ -130,6 +135,12 @@
         return self._request_counts.get(group, 0.0) / max(sum(self._request_counts.values()), 1.0)
 
 
+def forget_groups_without_loads(engine: Engine, now: int) -> None:
+    """Drop what an engine's state says of groups that no load blocks any more."""
+    engine.loads_in_flight = {group: count for group, count in engine.loads_in_flight.items() if count}
+    engine.blocked_until = {group: until for group, until in engine.blocked_until.items() if until > now}
+
+
 def blocks_queries(engine: Engine, group: int, now: int) -> bool:
     """Return whether a load of the group runs at the engine, as far as this broker knows."""
     return bool(engine.loads_in_flight.get(group, 0)) or engine.blocked_until.get(group, 0) > now
--- a/cypressledge/decisions/lifecycle.py
+++ b/cypressledge/decisions/lifecycle.py
@@ -118,6 +118,7 @@
     def remove(self, request: Request) -> None:
         """Remove a finished request without an attempt in flight; queue the next request of its key."""
         del self.requests[request.id]
+        self._deadlines.compact(self.requests)
         if self.key_order.applies_to(request) and (following := self.key_order.leave(request)):
             self._queue_first_of_key(following)
 
--- a/cypressledge/decisions/queues.py
+++ b/cypressledge/decisions/queues.py
@@ -5,13 +5,15 @@
 """
 
 from collections.abc import Callable, Container, Iterator
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import chain
 
 from cypressledge.decisions.context import DecisionContext
 from cypressledge.decisions.pace import OVERLOAD_SLOWDOWN, FleetPace
 from cypressledge.decisions.request import Request
 
+ENTRIES_BETWEEN_COMPACTIONS = 1024
+
 Subqueue = list[tuple[float, int, Request]]  # heap of run time in µs, sequence number and request
 Subqueues = dict[int, Subqueue]  # by subqueue id
 
@@ -81,6 +83,8 @@
         self._sequence_number += 1
         subqueue = queues[request.class_index].setdefault(request.subqueue_id, [])
         heappush(subqueue, (request.run_time, self._sequence_number, request))
+        if len(subqueue) % ENTRIES_BETWEEN_COMPACTIONS == 0:
+            _remove_ended(subqueue)
 
     def _can_meet_objective(self, request: Request) -> bool:
         return self._context.now + request.run_time <= request.objective_at
@@ -96,6 +100,12 @@
         return in_time and self._pace.slowdown < OVERLOAD_SLOWDOWN
 
 
+def _remove_ended(subqueue: Subqueue) -> None:
+    """Remove the requests that no longer wait: withdrawn ones would else be held until they are the head."""
+    subqueue[:] = [entry for entry in subqueue if entry[2].queued and entry[2].engine is None]
+    heapify(subqueue)
+
+
 def _discard_unservable(
     subqueues: Subqueues,
     subqueue_id: int,
--- a/cypressledge/decisions/retries.py
+++ b/cypressledge/decisions/retries.py
@@ -25,6 +25,7 @@
     def record_request(self) -> None:
         """Count a request that was received."""
         if self._context.settings.retry_budget_ratio is not None:
+            self._drop_requests_before_window()
             self._received.append(self._context.now)
 
     def withdraw_request(self, received_at: int) -> None:
@@ -45,12 +46,21 @@
         settings, now = self._context.settings, self._context.now
         if settings.retry_budget_ratio is None:
             return True
-        slack = settings.timer_resolution + settings.max_send_delay
-        _drop_until(self._received, now - settings.retry_budget_window + slack)
-        _drop_until(self._retries, now - settings.retry_budget_window - slack)
+        self._drop_requests_before_window()
+        _drop_until(self._retries, now - settings.retry_budget_window - self._slack())
         allowed = settings.retry_budget_floor + settings.retry_budget_ratio * len(self._received)
         return len(self._retries) + 1 <= allowed
 
+    def _drop_requests_before_window(self) -> None:
+        """Remove the requests that no longer count, with a margin for the delay of a send."""
+        window = self._context.settings.retry_budget_window
+        _drop_until(self._received, self._context.now - window + self._slack())
+
+    def _slack(self) -> int:
+        """Return the time in µs by which a send may be delayed after its decision."""
+        settings = self._context.settings
+        return settings.timer_resolution + settings.max_send_delay
+
 
 class RetryPolicy:
     """Decides on retries by the attempts, the time, the retry budget and the idempotency of the class."""
--- a/cypressledge/net/clickhouse/engine_exchange.py
+++ b/cypressledge/net/clickhouse/engine_exchange.py
@@ -13,11 +13,13 @@
 from cypressledge.net.clickhouse.errors import ErrorCode
 from cypressledge.net.clickhouse.statements import StatementKind, quote, statement_kind
 from cypressledge.net.receive_buffer import ReceiveBuffer
+from cypressledge.net.time_slice import TimeSlice
 
 if TYPE_CHECKING:
     from cypressledge.net.clickhouse.transport import ClickHouseTransport
 
 READ_SIZE = 64 << 10  # bytes
+PARSED_SIZE = 8 << 10  # bytes that are parsed at once
 MAX_KILL_RESPONSE_SIZE = 4096  # bytes that are read of the response to KILL QUERY
 BACKPRESSURE_POLL_INTERVAL = 0.001  # seconds between checks whether the core has consumed the rows
 MIN_REMAINING = 1000  # µs; minimum execution time that an engine is given
@@ -31,6 +33,7 @@
         self.transport, self.attempt, self.core = transport, attempt, transport.core
         self.sock: socket.socket | None = None
         self.cancelled = self.sent = False
+        self._slice = TimeSlice()
         self.response = EngineResponse(transport.core, attempt, self._shut_socket)
 
     def run(self) -> None:
@@ -105,12 +108,17 @@
         while not response.is_complete and not self.cancelled:
             if not buffer.receive(self.sock):
                 raise ConnectionResetError("engine closed the connection before the end of its response")
-            if buffer.was_filled:
-                sleep(0)
-            response.feed(buffer.take_all())
+            self._feed(buffer)
             self._wait_for_consumer()
         return response.result()
 
+    def _feed(self, buffer: ReceiveBuffer) -> None:
+        """Parse the received bytes in small parts: each may contain much progress to report."""
+        self._slice.begin()
+        while (part := buffer.take_part(PARSED_SIZE)) and not self.cancelled:
+            self.response.feed(part)
+            self._slice.end_if_over()
+
     def _wait_for_consumer(self) -> None:
         """Wait for the core and the client to consume rows, so that the engine is read no faster."""
         while self.attempt.unread_bytes > READ_SIZE and not self.cancelled:
--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -32,6 +32,7 @@
     shutdown_write,
 )
 from cypressledge.net.socket_writer import SocketWriter
+from cypressledge.net.time_slice import TimeSlice
 
 READ_SIZE = 16 << 10  # bytes per read; the parser consumes all of them
 # Of the request target, the header fields and the trailers.
@@ -108,6 +109,7 @@
         self.shutdown_at = 0  # µs; when the broker's side was shut down, 0 if it was not
         self._held_bytes = 0  # reserved from `PENDING_REQUESTS`
         self._parsed_body_bytes = 0  # of the bytes that are being parsed, those of bodies
+        self._slice = TimeSlice()
         self.connected_at = self.last_active_at = monotonic_us()
         self.request_began_at = 0  # µs; first byte of an incomplete request, 0 if there is none
         self.has_requested = False
@@ -138,7 +140,11 @@
     def _process(self, received: bytes) -> None:
         """Parse received bytes and handle the requests in them; pause while enough requests are queued."""
         try:
+            self._slice.begin()
+            self._check_connected()
             for begin in range(0, len(received), PARSED_SIZE):
+                if self._slice.end_if_over():
+                    self._check_connected()
                 self._wait_for_queue()
                 self._parse(received[begin : begin + PARSED_SIZE])
                 self._handle_next()
@@ -186,13 +192,17 @@
         PENDING_REQUESTS.holders.add(self)
         return True
 
+    def _check_connected(self) -> None:
+        """Raise `ConnectionResetError` if the client has closed: what it sent before needs no answer."""
+        if peer_has_closed(self.sock):
+            raise ConnectionResetError("client closed before its requests were handled")
+
     def _wait_for_queue(self) -> None:
         """Wait until a request can be queued. Raises `ConnectionResetError` if the client closes."""
         if len(self.waiting) < MAX_PIPELINED:
             return
         while len(self.waiting) >= MAX_PIPELINED and not self.closing:
-            if peer_has_closed(self.sock):
-                raise ConnectionResetError("client closed while its requests were queued")
+            self._check_connected()
             sleep(QUEUE_POLL_INTERVAL)
         if self.request_began_at:
             self.request_began_at = monotonic_us()  # the rest of the request was not read meanwhile
--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -25,11 +25,13 @@
     close_socket,
     discard_until_closed,
     has_unread_bytes,
+    peer_has_closed,
     receive,
     remaining_seconds,
     shutdown_write,
 )
 from cypressledge.net.socket_writer import SocketWriter
+from cypressledge.net.time_slice import TimeSlice
 
 if TYPE_CHECKING:
     from cypressledge.net.jsonrpc.frontend import JsonRpcFrontend
@@ -77,6 +79,8 @@
         self.draining = frontend.draining  # to be closed once all calls are answered
         self.ignores_input = False
         self.processing = False  # received bytes are being processed
+        self._client_has_closed = False  # what it sent before is not processed any more
+        self._slice = TimeSlice()
         self.shutdown_at = 0  # µs; when the broker's side was shut down, 0 if it was not
         self.close_reason = str(CloseReason.CLIENT_CLOSED)
         frontend.connections.add(self)
@@ -99,7 +103,7 @@
             if not receive(self.reader.buffer, self.sock, self._read_timeout):
                 return False
             self._process()
-            return True
+            return not self._client_has_closed
         except IdleTimeoutError:
             # Drain, not close: a request that is being received at this moment is answered first.
             if not self.shutdown_at:
@@ -126,6 +130,7 @@
         return remaining_seconds(self.shutdown_at, LINGER_TIMEOUT) if self.shutdown_at else LINGER_TIMEOUT
 
     def _process(self) -> None:
+        """Process the complete messages. Others run meanwhile, for whom the connection is not idle."""
         self.processing = True
         try:
             self._process_frames()
@@ -136,7 +141,9 @@
 
     def _process_frames(self) -> None:
         any_complete = False
-        while (frame := self.reader.take()) is not None:
+        self._slice.begin()
+        self._client_has_closed = peer_has_closed(self.sock)
+        while not self._client_has_closed and (frame := self.reader.take()) is not None:
             any_complete = True
             if self.writer.closed:  # received after the shutdown of the broker's side: cannot be answered
                 self.counters.add("clients.received_after_shutdown")
@@ -144,6 +151,8 @@
             self._process_message(frame)
             if self.error_count > MAX_ERRORS_WHILE_DRAINING:
                 raise FramingError("too many errors")
+            if self._slice.end_if_over():
+                self._client_has_closed = peer_has_closed(self.sock)
         if self.error_count > MAX_ERRORS:
             self.draining = True  # what the client has already written is still answered
         self.has_requested |= any_complete
@@ -192,7 +201,7 @@
 
     def eviction_priority(self, now: int) -> EvictionPriority:
         """See `ClientConnection`; a connection is busy while a call is open or an answer is being sent."""
-        is_busy = bool(self.open_calls or self.message_began_at or self.writer.sending)
+        is_busy = bool(self.open_calls or self.message_began_at or self.writer.sending or self.processing)
         return eviction_priority(now, self.connected_at, self.last_active_at, self.has_requested, is_busy)
 
     def drain(self) -> None:
--- a/cypressledge/net/line_protocol/connection.py
+++ b/cypressledge/net/line_protocol/connection.py
@@ -34,6 +34,7 @@
     remaining_seconds,
 )
 from cypressledge.net.socket_writer import SocketWriter
+from cypressledge.net.time_slice import TimeSlice
 
 if TYPE_CHECKING:
     from cypressledge.net.line_protocol.transport import LineProtocolTransport
@@ -333,13 +334,15 @@
         # Nothing is charged to the budget of all buffers: clients that exhaust it must not cost answers.
         max_message_size = MAX_LINE_SIZE + MAX_PAGE_SIZE
         buffer = ReceiveBuffer(max_message_size, read_size=max_message_size, uncharged_size=max_message_size)
-        reason = str(CloseReason.CLOSED_BY_ENGINE)
+        reason, time_slice = str(CloseReason.CLOSED_BY_ENGINE), TimeSlice()
         try:
             while receive(buffer, self.sock, self._read_timeout):
                 self.last_received_at, self.may_be_closed = monotonic_us(), False
-                while (message := take_message(buffer)) is not None:
+                time_slice.begin()
+                while not self.closed and (message := take_message(buffer)) is not None:
                     handle_message(self, *message)
                     self.message_began_at = 0
+                    time_slice.end_if_over()
                 self.message_began_at = (self.message_began_at or self.last_received_at) if len(buffer) else 0
                 self.silent_since = self.last_received_at if self.pending else 0
         except OSError as err:
--- a/cypressledge/net/socket_io.py
+++ b/cypressledge/net/socket_io.py
@@ -10,6 +10,7 @@
 from cypressledge.clock import monotonic_us
 from cypressledge.net.receive_buffer import ReceiveBuffer
 from cypressledge.net.socket_writer import SocketWriter
+from cypressledge.net.time_slice import let_others_run
 
 LINGER_TIMEOUT = 2.0  # seconds for which a peer is still read after the local side was shut down
 FIRST_MESSAGE_TIMEOUT = 2.0  # seconds from connecting to a client's first complete message, and to its answer
@@ -106,7 +107,7 @@
     one and close it despite the request in its buffer."""
     if buffer.was_filled:
         buffer.charge_held_bytes()
-        sleep(0)
+        let_others_run()
     while True:
         with Timeout(read_timeout(), False):
             return buffer.receive(sock)
@@ -138,7 +139,7 @@
                 received = sock.recv_into(DISCARD_BUFFER)
             if received == 0:
                 return
-            sleep(0)
+            let_others_run()
     except (OSError, IdleTimeoutError):
         pass
 
--- a/tests/decisions/test_manager_state.py
+++ b/tests/decisions/test_manager_state.py
@@ -1,17 +1,26 @@
 """A manager is deterministic, and its state does not grow over time."""
 
+import dataclasses
+import gc
+import tracemalloc
 from collections import deque
 from enum import Enum
 
+from cypressledge.decisions import deadlines
 from cypressledge.decisions.contract import (
+    AttemptEnded,
     ClassSettings,
+    ClientDisconnected,
+    DeduplicationScope,
     EngineListKind,
     EngineListReceived,
     EngineState,
     Outcome,
+    RequestReceived,
     Settings,
+    StartAttempt,
 )
-from tests.decisions.manager_driver import ORDERED, SECOND, ManagerDriver, entry, settings
+from tests.decisions.manager_driver import ORDERED, SECOND, ManagerDriver, entry, settings, with_key
 
 
 def test_the_same_events_produce_the_same_actions():
@@ -56,3 +65,29 @@
         names = getattr(type(owner), "__slots__", None) or vars(owner)
         return sum(count_entries(getattr(owner, name), seen) for name in names)
     return 0
+
+
+def test_withdrawn_requests_under_ever_new_names_take_no_memory(monkeypatch):
+    """Regression: what was kept for the deadline, the retry budget, the queue and the tables of each request
+    that was withdrawn stayed for as long as the request would have waited, or for good."""
+    keyed = dataclasses.replace(with_key(DeduplicationScope.ALL), deadline=600 * SECOND, is_load=True)
+    site = settings(keyed, retry_budget_ratio=0.1, retry_budget_window=5 * SECOND)
+    driver = ManagerDriver(site, engines=4)
+    monkeypatch.setattr(deadlines, "MIN_LENGTH_TO_COMPACT", 1000, raising=False)
+    sizes = []
+    tracemalloc.start()
+    try:
+        for number in range(1, 6_001):
+            driver.now += 10_000
+            received = RequestReceived(number, 0, driver.now + 500 * SECOND, number, SECOND, 0.0, number)
+            for action in driver.manager.handle(driver.now, [received]):
+                if isinstance(action, StartAttempt):
+                    end = AttemptEnded(number, 0, action.engine, Outcome.OK, True, 1000)
+                    driver.manager.handle(driver.now, [end])
+            driver.manager.handle(driver.now, [ClientDisconnected(number)])
+            if number % 2_000 == 0:
+                gc.collect()
+                sizes.append(tracemalloc.get_traced_memory()[0])
+    finally:
+        tracemalloc.stop()
+    assert sizes[-1] - sizes[0] < 512 << 10, sizes
--- a/tests/race_conditions/test_client_connections.py
+++ b/tests/race_conditions/test_client_connections.py
@@ -26,7 +26,7 @@
             engine,
             env=METRICS_OFTEN,
             change=limits(sockets=64),
-            hooks={"pause": "cypressledge.net.socket_io:sleep"},
+            hooks={"pause": "cypressledge.net.socket_io:let_others_run"},
         )
         client = self.client(broker)
         client.send("status")
