Do not send on the requests of a client that has closed behind unread input

Cause: a close is behind all that was written before; requests were submitted as they were read, and nothing asked the socket before a send.

Change: Attempt.may_be_sent asks the client's socket (Query.client_has_closed); requests in a stream of 64 KB and more wait until the client pauses for 2 ms, 1 s at most (InputStream).

Open: a stream of over a second, then a close.

--- a/cypressledge/broker/requests.py
+++ b/cypressledge/broker/requests.py
@@ -4,6 +4,7 @@
 """
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from typing import Protocol
@@ -23,6 +24,11 @@
     NOBODY = auto()  # whatever its class allows: it may write, and engines do not recognise a repeat
 
 
+def _is_never_closed() -> bool:
+    """Return False, for a query that was not received on a connection."""
+    return False
+
+
 @dataclass(slots=True)
 class Query:
     """A client's query, independent of the protocol by which it was received."""
@@ -39,6 +45,8 @@
     table_group: int = 0
     is_client_retry: bool = False
     repeats: Repeats = Repeats.AS_ITS_CLASS
+    # Returns whether the client has closed its connection, also if that has not been read from it yet.
+    client_has_closed: Callable[[], bool] = _is_never_closed
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,9 +181,11 @@
     def may_be_sent(self, now: int) -> bool:
         """Return whether the attempt is still awaited and its decision is not too old at `now`.
 
+        The socket is asked as well: the close of a client may not have been read yet.
         The module checked its limits for the time of the decision. A connection that is established late or a
         suspended process could delay the send beyond the time for which that check is valid."""
-        return self.is_awaited and now - self.decided_at <= MAX_SEND_DELAY
+        is_recent = now - self.decided_at <= MAX_SEND_DELAY
+        return is_recent and self.is_awaited and not self.query.client_has_closed()
 
     @property
     def query(self) -> Query:
--- a/cypressledge/net/clickhouse/frontend.py
+++ b/cypressledge/net/clickhouse/frontend.py
@@ -1,5 +1,7 @@
 """Frontend that accepts queries over the ClickHouse HTTP interface and submits them to the core."""
 
+from functools import partial
+
 from cypressledge.broker.core import BrokerCore
 from cypressledge.net.clickhouse.authentication import authenticate
 from cypressledge.net.clickhouse.errors import ClickHouseError, ErrorCode, answer_error
@@ -7,7 +9,7 @@
 from cypressledge.net.clickhouse.reply import ClickHouseReply
 from cypressledge.net.http_exchange import HttpExchange, HttpRequest
 from cypressledge.net.http_server import HttpServer
-from cypressledge.net.socket_io import Address
+from cypressledge.net.socket_io import Address, peer_has_closed
 from cypressledge.tenants import Tenants
 
 MAX_BODY_SIZE = 4 << 20  # bytes
@@ -61,4 +63,5 @@
             self.counters.add("clickhouse.rejected")
             reply.reject(self.core.ledger.max_retry_after)
         else:
+            query.client_has_closed = partial(peer_has_closed, exchange.connection.sock)
             reply.request = self.core.ledger.submit(query, reply)
--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -16,6 +16,7 @@
 from cypressledge.net.connection_registry import ConnectionRegistry, EvictionPriority, eviction_priority
 from cypressledge.net.http_exchange import HttpExchange, HttpRequest
 from cypressledge.net.http_head import HeadLimitError, HeadLimits, HeadMeter
+from cypressledge.net.input_stream import InputStream
 from cypressledge.net.listener import Listener
 from cypressledge.net.receive_buffer import ReceiveBuffer
 from cypressledge.net.socket_io import (
@@ -110,6 +111,7 @@
         self._held_bytes = 0  # reserved from `PENDING_REQUESTS`
         self._parsed_body_bytes = 0  # of the bytes that are being parsed, those of bodies
         self._slice = TimeSlice()
+        self._input = InputStream()
         self.connected_at = self.last_active_at = monotonic_us()
         self.request_began_at = 0  # µs; first byte of an incomplete request, 0 if there is none
         self.has_requested = False
@@ -123,8 +125,9 @@
         """Read requests until the client closes the connection; an open exchange is then abandoned."""
         buffer = ReceiveBuffer(READ_SIZE, read_size=READ_SIZE, uncharged_size=READ_SIZE)
         try:
-            while not self.closing and receive(buffer, self.sock, self._read_timeout):
+            while not self.closing and (size := receive(buffer, self.sock, self._wait_for_input)):
                 self._mark_active()
+                self._input.add(size)
                 self._process(buffer.take_all())
             if self.closing:
                 discard_until_closed(self.sock, self._linger_timeout)
@@ -145,8 +148,11 @@
             for begin in range(0, len(received), PARSED_SIZE):
                 if self._slice.end_if_over():
                     self._check_connected()
+                if len(self.waiting) >= MAX_PIPELINED:
+                    self._handle_next()
                 self._wait_for_queue()
                 self._parse(received[begin : begin + PARSED_SIZE])
+            if not self._input.defers_requests():
                 self._handle_next()
         except RequestLimitError as err:
             self._reject_input(err.status)
@@ -207,6 +213,18 @@
         if self.request_began_at:
             self.request_began_at = monotonic_us()  # the rest of the request was not read meanwhile
 
+    def _wait_for_input(self) -> float:
+        """Return the seconds within which bytes must come; handle a request once the client has paused.
+
+        Raises `ConnectionResetError` if the client has closed."""
+        pause = self._input.pause()
+        if pause is not None:
+            return pause
+        if self.waiting and self.current is None:
+            self._check_connected()
+            self._handle_next()
+        return self._read_timeout()
+
     def _read_timeout(self) -> float:
         """Return the seconds within which the client must send more bytes.
 
--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -4,15 +4,17 @@
 import json
 import traceback
 from enum import StrEnum
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from gevent import socket
 
 from cypressledge.broker.event_log import EventKind
 from cypressledge.broker.metrics import log
-from cypressledge.broker.requests import Query
+from cypressledge.broker.requests import EngineFault, Query
 from cypressledge.clock import monotonic_us
 from cypressledge.net.connection_registry import EvictionPriority, eviction_priority
+from cypressledge.net.input_stream import InputStream
 from cypressledge.net.jsonrpc.errors import ErrorCode, FramingError, JsonRpcError
 from cypressledge.net.jsonrpc.framing import Frame, FrameReader, SkipReason, parse_message
 from cypressledge.net.jsonrpc.pending_call import PendingCall
@@ -46,6 +48,7 @@
 MAX_ERRORS = 16  # error answers per connection, after which it is drained
 MAX_ERRORS_WHILE_DRAINING = 32  # error answers per connection, after which its input is ignored
 MAX_REQUEST_ID = 1 << 53
+ID_IS_OPEN = EngineFault("id is that of an open request")
 
 
 class CloseReason(StrEnum):
@@ -71,6 +74,8 @@
         self.reader = FrameReader(lambda: frontend.counters.add("clients.messages_skipped"))
         self.used_ids = UsedRequestIds()
         self.open_calls: dict[int, PendingCall] = {}
+        self._input = InputStream()
+        self._unsubmitted: list[PendingCall] = []  # open calls whose client is probably still sending
         self.writer = SocketWriter(sock, SEND_QUEUE_LIMIT, SEND_TIMEOUT, self._handle_send_failure)
         self.connected_at = self.last_active_at = monotonic_us()
         self.message_began_at = 0  # µs; first byte of an incomplete message, 0 if there is none
@@ -100,9 +105,13 @@
     def _receive(self) -> bool:
         """Read once and process complete messages; return False once there is nothing more to read."""
         try:
-            if not receive(self.reader.buffer, self.sock, self._read_timeout):
+            size = receive(self.reader.buffer, self.sock, self._wait_for_input)
+            if not size:
                 return False
+            self._input.add(size)
             self._process()
+            if not self._input.defers_requests():
+                self._submit_calls()
             return not self._client_has_closed
         except IdleTimeoutError:
             # Drain, not close: a request that is being received at this moment is answered first.
@@ -113,6 +122,16 @@
                 return True
             return False
 
+    def _wait_for_input(self) -> float:
+        """Return the seconds within which bytes must come; submit calls once the client has paused."""
+        pause = self._input.pause()
+        if pause is not None:
+            return pause
+        if self._unsubmitted:
+            self._client_has_closed = peer_has_closed(self.sock)
+            self._submit_calls()
+        return self._read_timeout()
+
     def _handle_framing_error(self, err: Exception) -> None:
         """Ignore further input, answer the open calls, and then shut down the broker's side.
 
@@ -121,6 +140,7 @@
         self.counters.add("clients.framing_errors")
         self.close_reason = CloseReason.FRAMING_ERROR
         self.reader.close()
+        self._submit_calls()
         self.send_error(None, ErrorCode.INVALID_REQUEST, f"bad framing: {err}")
         self.ignores_input = True
         self.drain()
@@ -244,7 +264,7 @@
         """Count the close; log it as an event unless it is a normal one without open calls."""
         self.counters.add(f"clients_closed.{self.close_reason}")
         if self.open_calls or self.close_reason not in NORMAL_CLOSE_REASONS:
-            requests = ",".join(call.request.query.id for call in self.open_calls.values() if call.request)
+            requests = ",".join(query.id for query in self._open_queries())
             self.core.event_log.write(
                 EventKind.CLIENT_CLOSED,
                 reason=self.close_reason,
@@ -317,11 +337,11 @@
             raise JsonRpcError(ErrorCode.METHOD_NOT_FOUND, f"no method {method[:40]}")
         else:
             query = self.frontend.query_parser.parse(method, params)
-            self._submit(query, PendingCall(self, call_id))
+            self._submit(query, PendingCall(self, call_id, query))
 
     def _submit(self, query: Query, call: PendingCall) -> None:
         # One client's statements must not use up the limit for all clients: the others would be rejected.
-        held_bytes = sum(len(c.request.query.statement) for c in self.open_calls.values() if c.request)
+        held_bytes = sum(len(query.statement) for query in self._open_queries())
         has_too_many_calls = len(self.open_calls) >= MAX_OPEN_CALLS
         holds_too_much = held_bytes > self.core.ledger.max_statement_bytes // STATEMENT_BYTES_DIVISOR
         self.open_calls[call.call_id] = call
@@ -330,7 +350,23 @@
         if has_too_many_calls or holds_too_much:
             self.core.ledger.reject_at_admission(query, call, "connection_full")
         else:
-            call.request = self.core.ledger.submit(query, call)
+            self._unsubmitted.append(call)
+
+    def _submit_calls(self) -> None:
+        """Submit the requests of the calls that are still open, unless the client has closed."""
+        calls, self._unsubmitted = self._unsubmitted, []
+        for call in calls:
+            if self._client_has_closed or self.open_calls.get(call.call_id) is not call or call.query is None:
+                continue  # withdrawn, or its client will not read the answer
+            if self.core.ledger.is_open(call.query.id):
+                call.fail(ID_IS_OPEN)
+            else:
+                call.query.client_has_closed = partial(peer_has_closed, self.sock)
+                call.request = self.core.ledger.submit(call.query, call)
+
+    def _open_queries(self) -> list[Query]:
+        """Return the queries of the calls that are submitted, or will be."""
+        return [call.query for call in self.open_calls.values() if call.query is not None]
 
     def _reject_skipped(self, reason: SkipReason, method: str, call_id: int, params: object) -> None:
         """Reject a query whose statement was not stored. Raises `JsonRpcError`."""
@@ -345,5 +381,5 @@
         self.counters.add("withdraws")
         names = [call_id, *(params.values() if isinstance(params, dict) else ())]
         for call in list(self.open_calls.values()):
-            if call.call_id in names or call.request and call.request.query.id in names:
+            if call.call_id in names or call.query is not None and call.query.id in names:
                 call.cancel()
--- a/cypressledge/net/jsonrpc/pending_call.py
+++ b/cypressledge/net/jsonrpc/pending_call.py
@@ -3,7 +3,7 @@
 import base64
 from typing import TYPE_CHECKING
 
-from cypressledge.broker.requests import EngineFault, Request
+from cypressledge.broker.requests import EngineFault, Query, Request
 from cypressledge.net.jsonrpc.errors import ErrorCode
 
 if TYPE_CHECKING:
@@ -15,8 +15,9 @@
 
     supports_streaming = False
 
-    def __init__(self, connection: "JsonRpcConnection", call_id: int) -> None:
-        self.connection, self.call_id = connection, call_id
+    def __init__(self, connection: "JsonRpcConnection", call_id: int, query: Query | None = None) -> None:
+        """`query`: that of a call which is not submitted yet."""
+        self.connection, self.call_id, self.query = connection, call_id, query
         self.request: Request | None = None
 
     def cancel(self) -> None:
