Do not run a query twice whose id comes again after its client has left, or at an upgrade

Cause: the ledger forgot an id with its client, though a cancellation is no proof that nothing ran; the processes of an upgrade shared nothing about ids.

Change: UsedQueryIds keeps the id of what may have run for 60 s (16,384 at most). Behind an inherited socket each process shows its ids in a table of 128 KB below $TMPDIR (QueryIdTable), and looks into those of the others.

Measured: RepeatedQueryIds, five tests: without the change four failed, with it all pass. QueryIdTable: five tests of its own.

--- a/cypressledge/broker/request_ledger.py
+++ b/cypressledge/broker/request_ledger.py
@@ -24,6 +24,7 @@
     Request,
 )
 from cypressledge.broker.stable_hash import stable_hash
+from cypressledge.broker.used_query_ids import UsedQueryIds
 from cypressledge.clock import monotonic_us
 from cypressledge.decisions import contract as c
 
@@ -62,7 +63,7 @@
         self._engines = engines
         self._counters = counters
         self._log = RequestLog(event_log)
-        self._query_ids: set[str] = set()
+        self.query_ids = UsedQueryIds()
         self._numbers = itertools.count(1)
         self.attempts = AttemptDispatcher(
             settings, self.requests, loop, engines, counters, self._log, self.attempt_ended
@@ -96,7 +97,7 @@
             query.deadline = min(query.deadline, self.shutdown_deadline)
         request = Request(next(self._numbers), query, reply)
         self.requests[request.number] = request
-        self._query_ids.add(query.id)
+        self.query_ids.open(query.id, query.deadline)
         self.statement_bytes += len(query.statement)
         self._counters.add(f"accepted.{query.class_name}")
         self._loop.post(self._handle_submitted, request)
@@ -110,11 +111,11 @@
         reply.reject(self.max_retry_after)
 
     def is_open(self, query_id: str) -> bool:
-        """Return whether a request with this query id, or one of its attempts, is open.
+        """Return whether a request with this query id, or one of its attempts, is open or may still run.
 
         Engines identify queries by their ids: a second query with the same id would get the answer to the
-        first."""
-        return query_id in self._query_ids
+        first, or be executed beside it after the client of the first has left."""
+        return self.query_ids.is_used(query_id, monotonic_us())
 
     def client_disconnected(self, request: Request) -> None:
         """Report that the client has disconnected or withdrawn the request, which then needs no answer."""
@@ -176,6 +177,8 @@
         self._counters.add("client_disconnects")
         if request.streaming_attempt is not None:
             self.attempts.cancel(request.streaming_attempt, c.Outcome.CANCELLED)
+        if any(attempt.may_have_been_executed for attempt in request.attempts):
+            self.query_ids.abandon(request.query.id, monotonic_us())
         self._conclude(request)
         self._loop.pending_events.append(c.ClientDisconnected(request.number))
 
@@ -325,7 +328,7 @@
         may refer to the request for longer."""
         if request.is_concluded and not request.open_attempts:
             self.requests.pop(request.number, None)
-            self._query_ids.discard(request.query.id)
+            self.query_ids.close(request.query.id)
             request.query.statement = b""
             request.reply = None  # type: ignore[assignment]  # never used after the request has been removed
             request.attempts = []
--- a/cypressledge/broker_process/assembly.py
+++ b/cypressledge/broker_process/assembly.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from cypressledge.broker.core import BrokerCore
-from cypressledge.broker.metrics import Counters
+from cypressledge.broker.metrics import Counters, log
 from cypressledge.broker.requests import MAX_SEND_DELAY
 from cypressledge.config import Config
 from cypressledge.decisions.contract import EngineListKind, Settings
@@ -70,6 +70,8 @@
     engine_naming = EngineNaming(config.kinds, config.zones, LINE_PROTOCOL)
     directory = DirectoryPoller(core, config.dns_server, engine_naming, config.serial)
     parts = BrokerComponents(counters, core, tenants, transport, frontend, engine_naming, directory)
+    if config.inherited_socket_fd is not None:
+        _share_query_ids(parts, config.listen[1])
     if config.management is not None:
         _add_management(parts, config, config.management)
     engine_naming.publish(core, EngineListKind.CACHED, config.engines)
@@ -85,6 +87,16 @@
     return HostedService(settings, parts.core, config, parts.tenants)
 
 
+def _share_query_ids(parts: BrokerComponents, port: int) -> None:
+    """Share the query ids with the other processes that accept from the inherited socket."""
+    from cypressledge.net.query_id_table import QueryIdTable
+
+    try:
+        parts.core.ledger.query_ids.shared = QueryIdTable(port)
+    except OSError as err:
+        log(f"query ids: not shared with the other process of an upgrade: {err}")
+
+
 def _add_management(parts: BrokerComponents, config: Config, address: tuple[str, int]) -> None:
     """Add the management server and its calls, imported only here so that other brokers do not load HTTP."""
     from cypressledge.net.maintenance_file import MaintenanceFile
