Subscribe only to the control process that the broker's file names at an address

Here: control processes of another plane, at the addresses of a broker's own; the broker, which had no state yet, put their settings in force.

Cause: the cluster was compared only with that of a state held, and the name with nothing.

Change: SubscriberClient compares the name in the first answer with the file's.

The fakes take a port.

--- a/cypressledge/controlplane/subscriber_client.py
+++ b/cypressledge/controlplane/subscriber_client.py
@@ -14,7 +14,7 @@
 from cypressledge.config import parse_address
 from cypressledge.controlplane.activity_record import ActivityRecord
 from cypressledge.controlplane.framing import ConnectionEndedError, FramedConnection, connect
-from cypressledge.controlplane.messages import Change, Message
+from cypressledge.controlplane.messages import Change, HelloAccepted, Message
 from cypressledge.controlplane.process_events import EventLogger
 from cypressledge.controlplane.server_selection import Server
 from cypressledge.controlplane.settings import ControlSettings
@@ -31,6 +31,7 @@
 
 MAX_MESSAGES_PER_TURN = 16  # messages handled before other greenlets run again
 UNLOGGED_EVENTS = frozenset(("disconnected", "subscribed", "nearer_server_tried"))  # only counted
+MAX_NAME_CHARS = 64  # of a peer's name in a log line
 MAX_SLEEP_S = 4.0  # seconds; longest sleep, because timers do not advance while a machine is suspended
 
 
@@ -74,6 +75,7 @@
         self._record = ActivityRecord(options.record, {"broker": identity.name, "run": identity.instance_id})
         self._frames: FramedConnection | None = None
         self._pending_server: Server | None = None
+        self._server_name = ""  # of the process that was dialled last
         self._woken, self._is_stopped = Event(), False
         servers = [Server(s.name, s.address, s.zone, s.region) for s in settings.servers]
         callbacks = SubscriberCallbacks(
@@ -120,6 +122,7 @@
             self._frames.close()
 
     def _dial(self, server: Server) -> None:
+        self._server_name = server.name
         try:
             self._frames = connect(parse_address(server.address), self.traffic)
         except ConnectionEndedError as err:
@@ -127,6 +130,13 @@
             return
         self.subscriber.connected(self.clock.now())
 
+    def _check_server(self, message: Message) -> None:
+        """Raise `ConnectionEndedError` if another process than the one in the settings has come up at its
+        address: it may belong to another control plane, and a broker without a state would take its own from
+        it."""
+        if isinstance(message, HelloAccepted) and message.name != self._server_name:
+            raise ConnectionEndedError(f"other server: {message.name[:MAX_NAME_CHARS]!r}")
+
     def _wait(self, seconds: float) -> None:
         """Wait until messages have arrived and been handled, or until the time has passed."""
         frames = self._frames
@@ -138,6 +148,7 @@
                 message = frames.receive(seconds)
                 if message is None:
                     break
+                self._check_server(message)
                 self.subscriber.received(self.clock.now(), message)
                 if self._frames is not frames:
                     break  # the subscriber has closed the connection
--- a/tests/fakes/fake_clickhouse_engine.py
+++ b/tests/fakes/fake_clickhouse_engine.py
@@ -17,10 +17,10 @@
     once the broker has closed a connection whose answer stalled.
     """
 
-    def __init__(self, play=None):
+    def __init__(self, play=None, port=0):
         self.play = play or stream_rows(ROW)
         self.asked, self.inserts_by_token, self.closed = [], {}, threading.Event()
-        super().__init__()
+        super().__init__(port)
 
     def serve(self, conn, file):
         while line := file.readline():
--- a/tests/fakes/fake_engines.py
+++ b/tests/fakes/fake_engines.py
@@ -17,8 +17,9 @@
     `open` holds all accepted connections; `lock` protects what the threads share.
     """
 
-    def __init__(self):
-        self.sock = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, port=0):
+        """`port`: that of an engine that has been closed, which this one replaces; a free one by default."""
+        self.sock = socket.create_server(("127.0.0.1", port))
         self.port = self.sock.getsockname()[1]
         self.open, self.lock = [], threading.Lock()
         threading.Thread(target=self._accept, daemon=True).start()
@@ -56,10 +57,10 @@
     commands as (connection, words).
     """
 
-    def __init__(self, play=None, name="s-1"):
+    def __init__(self, play=None, name="s-1", port=0):
         self.play, self.name = play or answer_at_once, name
         self.wants, self.commands_received = [], []
-        super().__init__()
+        super().__init__(port)
 
     def serve(self, conn, file):
         def say(name, word, fields="-", body=b""):
--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -276,6 +276,36 @@
     assert not fleet.events(first.holder, "lease_lost")
 
 
+@pytest.mark.parametrize("name", ["x0", "same"])
+def test_a_broker_of_another_fleet_at_the_address_of_a_gone_one_is_not_taken_for_it(fleet, name, tmp_path):
+    """It has a name of its own, or that of the broker that has gone; both fleets have a lease of this name.
+
+    The lease here stays with its holder.
+    """
+    first = fleet.wait_for_act()
+    gone = next(n for n in fleet.names if n != first.holder)
+    fleet[gone].kill()
+    name = gone if name == "same" else name
+    others = [{"name": f"y{number}", "address": f"127.0.0.1:{port}"} for number, port in enumerate((9, 19))]
+    settings = fleet.settings(gone) | {
+        "peers": [{"name": name, "address": f"127.0.0.1:{fleet.ports[gone]}"}, *others],
+        "voters": [{"version": 1, "names": [name, "y0", "y1"]}],
+    }
+    brokers = Brokers(str(tmp_path))
+    try:
+        brokers.add(name, settings).start()
+        assert until(brokers.all[name].listening, WAIT)
+        replaced_at = fleet.last_write().at
+        gevent.sleep(3 * TERM)  # as long as a voter needs to vote again after its start, and more
+        fleet.wait_for_act(fleet.last_write().at)
+        holders = {w.holder for w in fleet.resource.writes if w.accepted and w.at > replaced_at}
+        assert holders == {first.holder}
+        assert tokens_never_decrease(fleet.resource.writes)
+        assert not fleet.events(first.holder, "lease_lost")
+    finally:
+        brokers.end()
+
+
 def test_invalid_file_is_one_line_and_exit_2(tmp_path):
     brokers = Brokers(str(tmp_path))
     broker = brokers.add("n1", {"peers": [], "voters": []})
