Keep serving on SIGHUP, whatever the configuration files contain

Cause: a reload runs as a signal handler, and each reader listed the exceptions it knew.

Change: any exception of the readers is a ConfigError; names, figures, ports and DNS names are checked as they are read; an exception while a checked file is applied is logged and counted. A date that does not exist in fleet.yaml is an error too (by reading, no test of its own).

--- a/cypressledge/broker_process/process.py
+++ b/cypressledge/broker_process/process.py
@@ -204,10 +204,14 @@
 
     def read(sections: Mapping[str, object]) -> ConfigurationFiles:
         """Read both files, the broker's first, so that its errors are reported before the service's."""
-        config = read_config(environment, sections)
-        return ConfigurationFiles(
-            config, _read_service(arguments.service, environment) if arguments.service else None
-        )
+        try:
+            config = read_config(environment, sections)
+            service = _read_service(arguments.service, environment) if arguments.service else None
+        except ConfigError:
+            raise
+        except Exception as err:  # whatever a file contains, it must not end a broker that serves
+            raise ConfigError(f"a file cannot be used: {type(err).__name__}: {err}") from err
+        return ConfigurationFiles(config, service)
 
     try:
         return BrokerProcess(read, arguments.fleet, arguments.control)
--- a/cypressledge/broker_process/reconfiguration.py
+++ b/cypressledge/broker_process/reconfiguration.py
@@ -1,5 +1,6 @@
 """The configuration in force, and its replacement while the broker runs."""
 
+import traceback
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -55,6 +56,10 @@
         except ConfigError as err:
             log(f"reload: the old configuration stays in force: {err}")
             return False
+        except Exception:  # an exception of a signal handler would end the process with all open requests
+            self._parts.counters.add("reload_failures")
+            log(f"reload: failed, the new configuration may be in force in part:\n{traceback.format_exc()}")
+            return False
         return True
 
     def apply_sections(self, sections: dict) -> None:
--- a/cypressledge/config.py
+++ b/cypressledge/config.py
@@ -32,7 +32,7 @@
 def parse_address(text: object) -> tuple[str, int]:
     """Return an address HOST:PORT as a pair of host and port. Raises `ConfigError`."""
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not colon or not port.isdigit() or int(port) > MAX_PORT:
+    if not colon or not port.isdecimal() or not port.isascii() or int(port) > MAX_PORT:
         raise ConfigError(f"no HOST:PORT: {text!r}")
     return host.strip("[]"), int(port)
 
@@ -96,7 +96,7 @@
         raise ConfigError("ROUTER_CONFIG is not set")
     try:
         with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
+            raw = json.load(file, parse_constant=_reject_constant)
         raw["settings"] |= sections or {}
         return _config(raw, environment)
     except OSError as err:
@@ -126,8 +126,8 @@
         limits=limits,
         settings=parse_settings(settings),
         classes=tuple(each["Name"] for each in settings["Classes"]),
-        kinds=tuple(settings["Skus"]),
-        zones=tuple(settings["Dcs"]),
+        kinds=_names(settings["Skus"], "Skus"),
+        zones=_names(settings["Dcs"], "Dcs"),
         tenants=frozenset(customer["Name"] for customer in customers),
         quotas={customer["Name"]: float(customer.get("QuotaRps", 0)) for customer in customers},
         serial=serial,
@@ -135,6 +135,18 @@
     )
 
 
+def _reject_constant(text: str) -> None:
+    """Raise `ValueError` for Infinity and NaN, which JSON does not have."""
+    raise ValueError(f"no figure in range: {text}")
+
+
+def _names(values: list[Any], key: str) -> tuple[str, ...]:
+    """Return the names in a list of the settings. Raises `ValueError`."""
+    if not all(isinstance(value, str) for value in values):
+        raise ValueError(f"{key} holds something that is no name")
+    return tuple(values)
+
+
 def _configured_engines(known: Mapping[str, Any]) -> list[DiscoveredEngine]:
     """Return the engines in the file, by applying its events in order.
 
--- a/cypressledge/fleet/settings.py
+++ b/cypressledge/fleet/settings.py
@@ -172,7 +172,7 @@
         raise ConfigError(f"{path}: {err.strerror}") from None
     except UnicodeDecodeError:
         raise ConfigError(f"{path} is not UTF-8 text") from None
-    except (yaml.YAMLError, RecursionError) as err:
+    except (yaml.YAMLError, RecursionError, ValueError) as err:  # ValueError: a date that does not exist
         raise ConfigError(f"{path} is not YAML: {' '.join(str(err).split())}") from None
     try:
         settings = msgspec.convert(raw, schema, strict=True)
--- a/cypressledge/service_config.py
+++ b/cypressledge/service_config.py
@@ -10,6 +10,7 @@
 from cypressledge.tenants import TenantError, Tenants
 
 MIN_TOKEN_LENGTH = 16  # characters
+MAX_LABEL_LENGTH = 63  # bytes of one label of a DNS name
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,8 @@
         return _service_config(path, raw, environment)
     except OSError as err:
         raise ConfigError(f"{path}: {err.strerror}") from None
+    except UnicodeDecodeError:
+        raise ConfigError(f"{path} is not UTF-8") from None
     except tomllib.TOMLDecodeError as err:
         raise ConfigError(f"{path} is not TOML: {err}") from None
     except KeyError as err:
@@ -58,7 +61,7 @@
     return ServiceConfig(
         listen=parse_address(frontend["listen"]),
         dns_server=parse_address(dns_sd["server"]) if dns_sd else None,
-        dns_service=dns_sd["service"] if dns_sd else "",
+        dns_service=_dns_name(path, dns_sd["service"]) if dns_sd else "",
         admin_listen=parse_address(admin["listen"]) if admin else None,
         admin_token=token,
         engine_user=engines.get("user", ""),
@@ -67,6 +70,14 @@
     )
 
 
+def _dns_name(path: str, text: str) -> str:
+    """Return a DNS name as given. Raises `ConfigError` if a label is empty or too long."""
+    labels = text.removesuffix(".").split(".")
+    if not all(0 < len(label.encode()) <= MAX_LABEL_LENGTH for label in labels):
+        raise ConfigError(f"{path}: service is no DNS name: {text!r}")
+    return text
+
+
 def _checked_tenants(listed: Iterable[dict]) -> tuple[Mapping[str, Any], ...]:
     """Return the tenants as given. Raises `TenantError` for an invalid one."""
     scratch, checked = Tenants(), tuple(listed)
--- a/tests/broker/test_reconfiguration.py
+++ b/tests/broker/test_reconfiguration.py
@@ -51,6 +51,10 @@
             (None, {"dns": "nowhere"}, "HOST:PORT"),
             (None, {"listen": "127.0.0.1:1"}, "restart"),
             (None, {"settings": SETTINGS | {"Classes": SETTINGS["Classes"][:1]}}, "restart"),
+            (None, {"settings": SETTINGS | {"Dcs": [{"Name": "room1"}]}}, "Dcs"),
+            (None, {"settings": SETTINGS | {"Skus": [["node-8c"]]}}, "Skus"),
+            (None, {"settings": SETTINGS | {"Step": float("inf")}}, "Infinity"),
+            (None, {"dns": "127.0.0.1:\u00b2"}, "HOST:PORT"),
         ):
             with self.subTest(reason):
                 before = dict(broker.config)
