--- a/cypressledge/net/connection_registry.py
+++ b/cypressledge/net/connection_registry.py
@@ -32,9 +32,12 @@
 
     sock: socket.socket
     writer: SocketWriter
-    has_requested: bool  # a complete request has been received
     last_active_at: int  # µs, monotonic; when bytes were last received or an answer was queued
 
+    @property
+    def has_requested(self) -> bool:
+        """Whether a complete request has been received."""
+
     def eviction_priority(self, now: int) -> EvictionPriority:
         """Return the eviction priority: the lowest is closed first, `NOT_EVICTABLE` never."""
 
--- a/cypressledge/net/management.py
+++ b/cypressledge/net/management.py
@@ -12,7 +12,8 @@
 from cypressledge.config import Limits
 from cypressledge.decisions.contract import EngineState
 from cypressledge.net.http_exchange import HttpExchange, HttpRequest
-from cypressledge.net.http_server import HttpServer, limit_pending_requests
+from cypressledge.net.http_request_parser import limit_pending_requests
+from cypressledge.net.http_server import HttpServer
 from cypressledge.net.socket_io import Address
 
 METRIC_PREFIX = "svc"
--- a/cypressledge/service.py
+++ b/cypressledge/service.py
@@ -15,7 +15,7 @@
 from cypressledge.net.clickhouse.transport import ClickHouseTransport
 from cypressledge.net.dns_sd import DnsSdPoller
 from cypressledge.net.engine_naming import EngineNaming
-from cypressledge.net.http_server import limit_pending_requests
+from cypressledge.net.http_request_parser import limit_pending_requests
 from cypressledge.service_config import ServiceConfig
 from cypressledge.tenants import Tenants
 
