Keep the ports of an experiment's processes while they are restarted

The run draws its ports from the whole range, beside the test workers.

Change: reserve_port holds a bound socket that never listens; the program's listeners can bind beside it, and free_port of any process cannot. Brokers and control processes use it.

--- a/cypressledge/lab/capacity/control_process.py
+++ b/cypressledge/lab/capacity/control_process.py
@@ -9,7 +9,7 @@
 from cypressledge.lab.capacity.day import REGION
 from cypressledge.lab.capacity.process_cost import ProcessCost
 from cypressledge.lab.processes import ManagedProcess
-from cypressledge.lab.site import free_port
+from cypressledge.lab.site import free_port, reserve_port
 
 CONNECT_TIMEOUT_S = 1.0
 CHUNK_BYTES = 65_536
@@ -66,6 +66,8 @@
         self.name, self.zone, self.votes, self.folder = name, zone, votes, folder
         self.region = REGION[zone]
         self.port, self.management = free_port(), free_port()
+        # While it is restarted, another process must not take its ports.
+        self.reservations = [reserve_port(port) for port in (self.port, self.management)]
         self.fleet = free_port(socket.SOCK_DGRAM)
         self.settings = folder / f"{name}.yaml"
         self.record, self.log = folder / f"{name}.control.jsonl", folder / f"{name}.log"
--- a/cypressledge/lab/processes.py
+++ b/cypressledge/lab/processes.py
@@ -14,7 +14,7 @@
 import yaml
 from gevent import sleep, subprocess
 
-from cypressledge.lab.site import config, free_port
+from cypressledge.lab.site import config, free_port, reserve_port
 
 Result = TypeVar("Result")
 
@@ -87,6 +87,8 @@
     ) -> None:
         self.name, self.folder, self.fleet = name, folder, fleet
         self.port, self.management = free_port(), free_port()
+        # While it is restarted, another process must not take its ports.
+        self.reservations = [reserve_port(port) for port in (self.port, self.management)]
         self.config_file, self.fleet_file = folder / f"{name}.json", folder / f"{name}.yaml"
         self.log_file = folder / f"{name}.log"
         self.config_file.write_text(json.dumps(config(name, self.port, self.management, members, more)))
--- a/cypressledge/lab/site.py
+++ b/cypressledge/lab/site.py
@@ -100,6 +100,17 @@
     raise OSError(f"no free port found on 127.0.0.1 in {PORT_ATTEMPTS} attempts")
 
 
+def reserve_port(port: int) -> socket.socket:
+    """Keep a port from other processes while no process of this experiment listens on it.
+
+    Returns the socket that does so until it is closed. It is bound and never listens, so a listener that sets
+    SO_REUSEADDR, as those of the program do, can still bind the port; `free_port` of any process cannot."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", port))
+    return sock
+
+
 def config(
     name: str, listen: int, management: int, members: list[dict] | None = None, more: dict | None = None
 ) -> dict:
