Answer calls that need no engine also to clients that have shut their own side

It is looked for before a query is submitted now, on both fronts.

JSON-RPC's `status` is not answered to such a client, on either.

--- a/cypressledge/net/clickhouse/frontend.py
+++ b/cypressledge/net/clickhouse/frontend.py
@@ -56,6 +56,9 @@
         if self.core.ledger.is_open(query.id):
             code = ErrorCode.QUERY_WITH_SAME_ID_IS_ALREADY_RUNNING
             raise ClickHouseError(code, f"Query with id = {query.id} is already running")
+        query.client_has_closed = partial(peer_has_closed, exchange.connection.sock)
+        if query.client_has_closed():
+            return  # the exchange ends with its connection, once the end of that has been read
         reply = ClickHouseReply(self, query, tenant, exchange)
         is_full = len(self.open_queries) >= MAX_OPEN_QUERIES or 0 < tenant.max_open <= tenant.open_requests
         reply.open()
@@ -63,5 +66,4 @@
             self.counters.add("clickhouse.rejected")
             reply.reject(self.core.ledger.max_retry_after)
         else:
-            query.client_has_closed = partial(peer_has_closed, exchange.connection.sock)
             reply.request = self.core.ledger.submit(query, reply)
--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -117,12 +117,10 @@
     def _parse(self, received: bytes) -> None:
         """Parse received bytes in small parts; pause while enough requests are queued.
 
-        Raises `ConnectionResetError` if the client closes, and the errors of the parser."""
+        Raises `ConnectionResetError` if the client closes meanwhile, and the errors of the parser."""
         self._slice.begin()
-        self._check_connected()
         for begin in range(0, len(received), PARSED_SIZE):
-            if self._slice.end_if_over():
-                self._check_connected()
+            self._slice.end_if_over()
             if len(self.requests.waiting) >= MAX_PIPELINED:
                 self._handle_next()
             self._wait_for_queue()
@@ -130,32 +128,24 @@
         if not self._input.defers_requests():
             self._handle_next()
 
-    def _check_connected(self) -> None:
-        """Raise `ConnectionResetError` if the client has closed: what it sent before needs no answer."""
-        if peer_has_closed(self.sock):
-            raise ConnectionResetError("client closed before its requests were handled")
-
     def _wait_for_queue(self) -> None:
         """Wait until a request can be queued. Raises `ConnectionResetError` if the client closes."""
         requests = self.requests
         if len(requests.waiting) < MAX_PIPELINED:
             return
         while len(requests.waiting) >= MAX_PIPELINED and not self.closing:
-            self._check_connected()
+            if peer_has_closed(self.sock):
+                raise ConnectionResetError("client closed while its requests were queued")
             sleep(QUEUE_POLL_INTERVAL)
         if requests.began_at:
             requests.began_at = monotonic_us()  # the rest of the request was not read meanwhile
 
     def _wait_for_input(self) -> float:
-        """Return the seconds within which bytes must come; handle a request once the client has paused.
-
-        Raises `ConnectionResetError` if the client has closed."""
+        """Return the seconds within which bytes must come; handle a request once the client has paused."""
         pause = self._input.pause()
         if pause is not None:
             return pause
-        if self.requests.waiting and self.current is None:
-            self._check_connected()
-            self._handle_next()
+        self._handle_next()
         return self._read_timeout()
 
     def _read_timeout(self) -> float:
--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -84,7 +84,6 @@
         self.draining = frontend.draining  # to be closed once all calls are answered
         self.ignores_input = False
         self.processing = False  # received bytes are being processed
-        self._client_has_closed = False  # what it sent before is not processed any more
         self._slice = TimeSlice()
         self.shutdown_at = 0  # µs; when the broker's side was shut down, 0 if it was not
         self.close_reason = str(CloseReason.CLIENT_CLOSED)
@@ -112,7 +111,7 @@
             self._process()
             if not self._input.defers_requests():
                 self._submit_calls()
-            return not self._client_has_closed
+            return True
         except IdleTimeoutError:
             # Drain, not close: a request that is being received at this moment is answered first.
             if not self.shutdown_at:
@@ -127,9 +126,7 @@
         pause = self._input.pause()
         if pause is not None:
             return pause
-        if self._unsubmitted:
-            self._client_has_closed = peer_has_closed(self.sock)
-            self._submit_calls()
+        self._submit_calls()
         return self._read_timeout()
 
     def _handle_framing_error(self, err: Exception) -> None:
@@ -162,8 +159,7 @@
     def _process_frames(self) -> None:
         any_complete = False
         self._slice.begin()
-        self._client_has_closed = peer_has_closed(self.sock)
-        while not self._client_has_closed and (frame := self.reader.take()) is not None:
+        while (frame := self.reader.take()) is not None:
             any_complete = True
             if self.writer.closed:  # received after the shutdown of the broker's side: cannot be answered
                 self.counters.add("clients.received_after_shutdown")
@@ -171,8 +167,7 @@
             self._process_message(frame)
             if self.error_count > MAX_ERRORS_WHILE_DRAINING:
                 raise FramingError("too many errors")
-            if self._slice.end_if_over():
-                self._client_has_closed = peer_has_closed(self.sock)
+            self._slice.end_if_over()
         if self.error_count > MAX_ERRORS:
             self.draining = True  # what the client has already written is still answered
         self.has_requested |= any_complete
@@ -353,11 +348,15 @@
             self._unsubmitted.append(call)
 
     def _submit_calls(self) -> None:
-        """Submit the requests of the calls that are still open, unless the client has closed."""
+        """Submit the requests of the calls that are still open, unless the client has closed.
+
+        The calls of a closed client end with its connection, once its end has been read."""
         calls, self._unsubmitted = self._unsubmitted, []
+        if not calls or peer_has_closed(self.sock):
+            return
         for call in calls:
-            if self._client_has_closed or self.open_calls.get(call.call_id) is not call or call.query is None:
-                continue  # withdrawn, or its client will not read the answer
+            if self.open_calls.get(call.call_id) is not call or call.query is None:
+                continue  # withdrawn
             if self.core.ledger.is_open(call.query.id):
                 call.fail(ID_IS_OPEN)
             else:
--- a/tests/race_conditions/test_closed_clients.py
+++ b/tests/race_conditions/test_closed_clients.py
@@ -54,3 +54,15 @@
         head = b"POST / HTTP/1.1\r\n" + HEADERS + b"Transfer-Encoding: chunked\r\n\r\n8\r\nSELECT 1\r\n"
         body = b"1\r\n \r\n" * UNREAD_CHUNKS
         self.check_nothing_begins_after_close(self.port, head + body + b"0\r\n\r\n" + head + body)
+
+    def test_http_calls_that_need_no_engine_are_answered_to_a_client_that_has_shut_its_side(self):
+        """Tools that write a call, end their output and read: `nc -N`, for one."""
+        self.start()
+        assert self.ping_and_shut() == b"Ok.\n"
+
+    def ping_and_shut(self):
+        """Return the body of the answer to a ping, whose client shuts its side before it reads."""
+        with socket.create_connection(("127.0.0.1", self.port)) as sock:
+            sock.sendall(b"GET /ping HTTP/1.1\r\n\r\n")
+            sock.shutdown(socket.SHUT_WR)
+            return b"".join(iter(lambda: sock.recv(4096), b"")).partition(b"\r\n\r\n")[2]
