Count the wait of requests in a stream from when they are there

The second that a request may wait for the end of its client's stream was counted from the stream's beginning, so a long one in front of the request left nothing of it.

--- a/cypressledge/net/http_server.py
+++ b/cypressledge/net/http_server.py
@@ -125,7 +125,7 @@
                 self._handle_next()
             self._wait_for_queue()
             self.requests.feed(received[begin : begin + PARSED_SIZE])
-        if not self._input.defers_requests():
+        if self.requests.waiting and not self._input.defers_requests():
             self._handle_next()
 
     def _wait_for_queue(self) -> None:
--- a/cypressledge/net/input_stream.py
+++ b/cypressledge/net/input_stream.py
@@ -28,7 +28,7 @@
         self._read_began_at = 0
 
     def defers_requests(self) -> bool:
-        """Return whether requests must wait, as the client is probably still sending."""
+        """Return whether the requests that are there must wait: the client is probably still sending."""
         if self._size < MIN_STREAM_SIZE:
             return False
         now = monotonic_us()
--- a/cypressledge/net/jsonrpc/connection.py
+++ b/cypressledge/net/jsonrpc/connection.py
@@ -109,7 +109,7 @@
                 return False
             self._input.add(size)
             self._process()
-            if not self._input.defers_requests():
+            if self._unsubmitted and not self._input.defers_requests():
                 self._submit_calls()
             return True
         except IdleTimeoutError:
