Fail a load that may have run where engines may forget its key before the client's repeat

WIRE permits the rejection, but says that trying again is harmless.

Change: the ledger answers with a failure unless a repeat after the longest Retry-After and the longest delay of a send falls within the window. The decisions are unchanged.

--- a/cypressledge/broker/request_ledger.py
+++ b/cypressledge/broker/request_ledger.py
@@ -16,6 +16,7 @@
 from cypressledge.broker.request_log import RequestLog
 from cypressledge.broker.requests import (
     DEADLINE_FAULT,
+    MAX_SEND_DELAY,
     Attempt,
     AttemptObserver,
     EngineFault,
@@ -251,11 +252,22 @@
         request = self.requests.get(action.request)
         if request is None or request.is_concluded:
             return
-        if request.may_be_rejected:
+        if request.may_be_rejected and not self._would_be_late(request):
             self._answer_rejected(request, action.reason)
         else:
             self._answer_failed(request, action.reason, request.last_fault or DEADLINE_FAULT)
 
+    def _would_be_late(self, request: Request) -> bool:
+        """Return whether engines may have forgotten the key of a request when its client repeats it.
+
+        They drop a duplicate of what they may have executed only within a window."""
+        class_settings = self.attempts.settings.classes[request.query.class_index]
+        possible_executions = [a.sent_at for a in request.attempts if a.may_have_been_executed]
+        if class_settings.idempotency is not c.Idempotency.WITH_KEY or not possible_executions:
+            return False
+        window_end = min(possible_executions) + class_settings.deduplication_window
+        return monotonic_us() + self.max_retry_after + MAX_SEND_DELAY >= window_end
+
     def _fail_request(self, action: c.FailRequest) -> None:
         request = self.requests.get(action.request)
         if request is not None and not request.is_concluded:
--- a/tests/net/clickhouse/test_clickhouse_possible_executions.py
+++ b/tests/net/clickhouse/test_clickhouse_possible_executions.py
@@ -46,9 +46,15 @@
         self.check_failed(run_and_lose_answer)
 
     def test_an_insert_with_a_token_of_its_client_may_be_rejected(self):
-        status, headers = self.answer_to_insert(run_and_lose_answer, insert_deduplication_token=TOKEN)
+        fail_at_once = answer_exception(500, 241, b"memory")
+        status, headers = self.answer_to_insert(fail_at_once, insert_deduplication_token=TOKEN)
         assert (status, headers["Retry-After"]) == (503, "1")
 
+    def test_an_insert_with_a_token_is_not_rejected_at_the_end_of_its_deduplication_window(self):
+        """Regression: it waited for an engine until then, and its client's repeat came after that."""
+        status, headers = self.answer_to_insert(run_and_lose_answer, insert_deduplication_token=TOKEN)
+        assert (status, headers["Retry-After"]) == (500, None)
+
     def test_an_insert_that_never_ran_is_rejected(self):
         status, headers = self.answer_to_insert(refuse)
         assert (status, headers["Retry-After"]) == (503, "1")
--- a/tests/race_conditions/test_retry_safety.py
+++ b/tests/race_conditions/test_retry_safety.py
@@ -7,6 +7,7 @@
 import contextlib
 import re
 import threading
+import time
 from itertools import pairwise
 
 from hypothesis import example, given
@@ -186,6 +187,21 @@
             assert result_rows(client.get()) == ROW
         assert len(first_connections) == complete_length + 1
 
+    def test_a_load_is_not_rejected_once_engines_may_forget_its_key(self):
+        """Regression: it was rejected at the end of the window, and its client's repeat came after that."""
+        window_s = 2.5  # longer than the margin of 0.6 s and the Retry-After of 1 s
+
+        def fail_late(engine, say, name, fields, statement):
+            if b"late" in statement:
+                time.sleep(window_s - 0.5)
+            say(name, "500")
+
+        change = site(keyed_class={"MemorySpan": int(window_s * 1e6)})
+        client = self.client(self.broker(self.engine(fail_late), change=change))
+        for statement, code in ((b"INSERT INTO sales_1.t VALUES (1)", -32066), (b"INSERT late", -32000)):
+            client.ask("order-load", once="ab" * 16, wait=15_000, statement=statement)
+            assert client.get()["error"]["code"] == code
+
     def test_a_reset_before_during_or_after_the_write_of_a_request(self):
         """A query cannot have been executed before its first byte is written; afterwards it may have been."""
         for moment, never_executed in (("before", True), ("during", False), ("after", False)):
